--- /dev/null
+++ b/src/configuration.h
@@ -0,0 +1,107 @@
+// The accepted configuration as plain data: what the operators' file set means
+// once it has been checked. Built whole, then never changed; a newer
+// configuration replaces it between two requests.
+#ifndef SRC_CONFIGURATION_H_
+#define SRC_CONFIGURATION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/clock.h"
+#include "src/generated/file_set_generated.h"
+#include "src/ids.h"
+
+namespace acacia {
+
+enum class WorkClass : std::uint8_t { kShort, kLong };
+inline constexpr int kWorkClassCount = 2;
+
+enum class Idempotency : std::uint8_t { kByMethod, kAlways, kNever };
+
+struct BackendServer {
+  BackendId id;
+  FailureDomain failure_domain;
+  std::uint32_t slots = 1;
+  bool operator==(const BackendServer&) const = default;
+};
+
+struct ServicePolicy {
+  std::uint32_t slots_per_backend_server = 1;
+  std::uint32_t max_connections_per_backend_server = 300;
+  // Share of all slots that must stay in service whatever is ejected.
+  std::uint32_t floor_percent = 50;
+  std::uint32_t long_slots_percent = 60;
+  std::uint32_t queue_length = 200;
+  std::uint32_t retry_budget_percent = 10;
+  Duration progress_timeout = std::chrono::seconds(5);
+};
+
+struct Service {
+  ServiceName name;
+  // The fixed list; empty when the platform's instance list is used.
+  std::vector<BackendServer> backend_servers;
+  // The service's name in the platform's instance list; empty for a fixed list.
+  std::string discovery;
+  ServicePolicy policy;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
+  std::vector<std::string> methods;
+  ServiceName service;
+  WorkClass work_class = WorkClass::kShort;
+  Idempotency idempotency = Idempotency::kByMethod;
+  Duration deadline = std::chrono::seconds(5);
+  std::uint64_t max_body_bytes = 0;
+  bool claim_keys = false;
+};
+
+struct AccountLimit {
+  // 0: unlimited.
+  std::uint32_t requests_per_second = 0;
+  std::uint32_t concurrent_requests = 0;
+};
+
+struct DrainRule {
+  std::string name;
+  ServiceName service;
+  std::vector<BackendId> backend_servers;
+  FailureDomain failure_domain;
+};
+
+struct StopPlan {
+  std::string name;
+  std::vector<InstanceId> instances;
+  FailureDomain failure_domain;
+  std::uint32_t max_stopping_per_failure_domain = 1;
+  std::uint32_t max_stopping_percent = 10;
+  Duration finish_within{};
+};
+
+struct Configuration {
+  Generation generation;
+  std::map<ServiceName, Service> services;
+  std::vector<Route> routes;
+  std::unordered_map<AccountId, AccountLimit> accounts;
+  std::vector<DrainRule> drain_rules;
+  std::vector<StopPlan> stop_plans;
+};
+
+// Converts a file set that has passed validation (see file_set.h).
+Configuration BuildConfiguration(const schema::FileSetT& file_set,
+                                 Generation generation);
+
+// True when a drain rule names the backend server.
+bool IsDrained(const Configuration& configuration,
+               const ServiceName& service,
+               const BackendServer& backend);
+
+}  // namespace acacia
+
+#endif  // SRC_CONFIGURATION_H_
--- /dev/null
+++ b/src/router.cc
@@ -0,0 +1,97 @@
+#include "src/router.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace acacia {
+namespace {
+
+std::string WithoutTrailingSlash(std::string_view path) {
+  while (path.size() > 1 && path.back() == '/') {
+    path.remove_suffix(1);
+  }
+  return std::string(path);
+}
+
+std::string HostKey(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  std::string key(colon == std::string_view::npos ? host
+                                                  : host.substr(0, colon));
+  for (char& c : key) {
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  }
+  return key;
+}
+
+bool TakesMethod(const Route& route, std::string_view method) {
+  if (route.methods.empty()) {
+    return true;
+  }
+  return std::find(route.methods.begin(), route.methods.end(), method) !=
+         route.methods.end();
+}
+
+// "/a/b" -> "/a" -> "/" -> "".
+std::string Parent(const std::string& prefix) {
+  if (prefix == "/") {
+    return "";
+  }
+  const std::size_t slash = prefix.rfind('/');
+  return slash == 0 || slash == std::string::npos ? "/"
+                                                  : prefix.substr(0, slash);
+}
+
+}  // namespace
+
+Router::Router(const Configuration& configuration) {
+  for (const Route& route : configuration.routes) {
+    this->by_host[HostKey(route.host)][WithoutTrailingSlash(route.path_prefix)]
+        .push_back(&route);
+  }
+}
+
+tl::expected<const Route*, ErrorKind> Router::Find(
+    std::string_view host,
+    std::string_view path,
+    std::string_view method) const {
+  ErrorKind error = ErrorKind::kNoRoute;
+  const std::string named = HostKey(host);
+  const std::string any;
+  for (const std::string* key : {&named, &any}) {
+    const auto found = this->by_host.find(*key);
+    if (found == this->by_host.end()) {
+      continue;
+    }
+    const auto route = this->FindInHost(found->second, path, method);
+    if (route) {
+      return route;
+    }
+    if (route.error() == ErrorKind::kMethodNotAllowed) {
+      error = route.error();
+    }
+  }
+  return tl::unexpected(error);
+}
+
+tl::expected<const Route*, ErrorKind> Router::FindInHost(
+    const ByPrefix& by_prefix,
+    std::string_view path,
+    std::string_view method) const {
+  ErrorKind error = ErrorKind::kNoRoute;
+  for (std::string prefix = WithoutTrailingSlash(path); !prefix.empty();
+       prefix = Parent(prefix)) {
+    const auto found = by_prefix.find(prefix);
+    if (found == by_prefix.end()) {
+      continue;
+    }
+    for (const Route* route : found->second) {
+      if (TakesMethod(*route, method)) {
+        return route;
+      }
+    }
+    error = ErrorKind::kMethodNotAllowed;
+  }
+  return tl::unexpected(error);
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/router.h
@@ -0,0 +1,43 @@
+// Finds the route for a request: exact host before any host, then the longest
+// path prefix that ends at a segment boundary. A lookup costs one hash probe
+// per path segment whatever the number of routes.
+#ifndef SRC_ROUTER_H_
+#define SRC_ROUTER_H_
+
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <unordered_map>
+#include <vector>
+
+#include "src/configuration.h"
+#include "src/error_kind.h"
+
+namespace acacia {
+
+class Router {
+ public:
+  // The configuration must outlive the router.
+  explicit Router(const Configuration& configuration);
+
+  // `path` is the request target without its query. Errors: kNoRoute,
+  // kMethodNotAllowed.
+  tl::expected<const Route*, ErrorKind> Find(std::string_view host,
+                                             std::string_view path,
+                                             std::string_view method) const;
+
+ private:
+  using Candidates = std::vector<const Route*>;
+  using ByPrefix = std::unordered_map<std::string, Candidates>;
+
+  tl::expected<const Route*, ErrorKind> FindInHost(
+      const ByPrefix& by_prefix,
+      std::string_view path,
+      std::string_view method) const;
+
+  std::unordered_map<std::string, ByPrefix> by_host;
+};
+
+}  // namespace acacia
+
+#endif  // SRC_ROUTER_H_
--- /dev/null
+++ b/test/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
