Add the shared plumbing: JSON by schema, settings, frames, small HTTP messages

Cause: every program needs checked settings, frames and small HTTP messages; one owner for each avoids copies. Change: json_schema lists all unknown fields through schema reflection (FlatBuffers' parser alone stops at the first), settings check addresses, framed_stream and http_server/http_client wrap Asio and Beast. Ruled out: FlatBuffers' parser alone, because it reports one mistake at a time.

--- /dev/null
+++ b/src/boost_json.cc
@@ -0,0 +1,2 @@
+// Compiles Boost.JSON once, from its headers.
+#include <boost/json/src.hpp>
--- /dev/null
+++ b/src/http_client.cc
@@ -0,0 +1,110 @@
+#include "src/http_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <optional>
+#include <utility>
+
+#include "src/lower_case.h"
+#include "src/socket_address.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = net::ip::tcp;
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+
+http::request<http::string_body> ToBeast(HttpRequest& request,
+                                         const std::string& host) {
+  http::request<http::string_body> out;
+  out.version(11);
+  out.method_string(request.method);
+  out.target(request.target);
+  out.set(http::field::host, host);
+  for (const auto& [name, value] : request.headers) {
+    out.set(name, value);
+  }
+  out.body() = std::move(request.body);
+  out.prepare_payload();
+  return out;
+}
+
+HttpReply FromBeast(http::response<http::string_body>& response) {
+  HttpReply reply;
+  reply.status = static_cast<int>(response.result_int());
+  for (const auto& field : response) {
+    reply.headers[LowerCase(field.name_string())] = std::string(field.value());
+  }
+  reply.body = std::move(response.body());
+  return reply;
+}
+
+}  // namespace
+
+struct HttpClient::State {
+  std::string address;
+  std::optional<beast::tcp_stream> stream;
+  beast::flat_buffer buffer;
+
+  net::awaitable<bool> Connect(Duration timeout);
+};
+
+net::awaitable<bool> HttpClient::State::Connect(Duration timeout) {
+  const auto to = ParseSocketAddress(this->address);
+  if (!to) {
+    co_return false;
+  }
+  this->buffer.clear();
+  this->stream.emplace(co_await net::this_coro::executor);
+  this->stream->expires_after(timeout);
+  const Tcp::endpoint endpoint(to->address, to->port);
+  const auto [error] = co_await this->stream->async_connect(endpoint, kAwait);
+  if (error) {
+    this->stream.reset();
+  }
+  co_return !error;
+}
+
+HttpClient::HttpClient(std::string address) : state(std::make_unique<State>()) {
+  this->state->address = std::move(address);
+}
+
+HttpClient::~HttpClient() = default;
+HttpClient::HttpClient(HttpClient&&) noexcept = default;
+HttpClient& HttpClient::operator=(HttpClient&&) noexcept = default;
+
+net::awaitable<tl::expected<HttpReply, HttpClientError>> HttpClient::Send(
+    HttpRequest request,
+    Duration timeout) {
+  State& state = *this->state;
+  if (!state.stream && !co_await state.Connect(timeout)) {
+    co_return tl::unexpected(HttpClientError::kNotSent);
+  }
+  auto out = ToBeast(request, state.address);
+  state.stream->expires_after(timeout);
+  const auto [write_error, written] =
+      co_await http::async_write(*state.stream, out, kAwait);
+  if (write_error) {
+    state.stream.reset();
+    co_return tl::unexpected(HttpClientError::kNoReply);
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxBodyBytes);
+  const auto [read_error, read] =
+      co_await http::async_read(*state.stream, state.buffer, parser, kAwait);
+  if (read_error) {
+    state.stream.reset();
+    co_return tl::unexpected(HttpClientError::kNoReply);
+  }
+  if (!parser.get().keep_alive()) {
+    state.stream.reset();
+  }
+  co_return FromBeast(parser.get());
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/http_server.cc
@@ -0,0 +1,139 @@
+#include "src/http_server.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <utility>
+
+#include "src/lower_case.h"
+#include "src/socket_address.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = net::ip::tcp;
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+constexpr std::chrono::seconds kIdleTimeout{60};
+
+HttpRequest FromBeast(http::request<http::string_body>& from) {
+  HttpRequest request;
+  request.method = std::string(from.method_string());
+  request.target = std::string(from.target());
+  for (const auto& field : from) {
+    request.headers[LowerCase(field.name_string())] =
+        std::string(field.value());
+  }
+  request.body = std::move(from.body());
+  return request;
+}
+
+http::response<http::string_body> ToBeast(HttpReply& reply, bool keep_alive) {
+  http::response<http::string_body> response;
+  response.version(11);
+  response.result(static_cast<unsigned>(reply.status));
+  for (const auto& [name, value] : reply.headers) {
+    response.set(name, value);
+  }
+  response.body() = std::move(reply.body);
+  response.keep_alive(keep_alive);
+  response.prepare_payload();
+  return response;
+}
+
+net::awaitable<void> ServeConnection(Tcp::socket socket, HttpHandler handler) {
+  beast::tcp_stream stream(std::move(socket));
+  beast::flat_buffer buffer;
+  for (;;) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(kMaxBodyBytes);
+    stream.expires_after(kIdleTimeout);
+    const auto [read_error, read] =
+        co_await http::async_read(stream, buffer, parser, kAwait);
+    if (read_error) {
+      co_return;
+    }
+    stream.expires_never();
+    const bool keep_alive = parser.get().keep_alive();
+    HttpReply reply = co_await handler(FromBeast(parser.get()));
+    if (reply.drop) {
+      co_return;
+    }
+    auto response = ToBeast(reply, keep_alive);
+    stream.expires_after(kIdleTimeout);
+    const auto [write_error, written] =
+        co_await http::async_write(stream, response, kAwait);
+    if (write_error || !keep_alive) {
+      co_return;
+    }
+  }
+}
+
+}  // namespace
+
+struct HttpServer::State {
+  State(net::any_io_executor executor, HttpHandler handler)
+      : acceptor(std::move(executor)), handler(std::move(handler)) {}
+
+  Tcp::acceptor acceptor;
+  HttpHandler handler;
+};
+
+namespace {
+
+template <typename State>
+net::awaitable<void> Accept(std::shared_ptr<State> state) {
+  while (state->acceptor.is_open()) {
+    auto [error, socket] = co_await state->acceptor.async_accept(kAwait);
+    if (error == net::error::operation_aborted || !state->acceptor.is_open()) {
+      co_return;
+    }
+    if (error) {
+      continue;
+    }
+    auto executor = socket.get_executor();
+    net::co_spawn(executor, ServeConnection(std::move(socket), state->handler),
+                  net::detached);
+  }
+}
+
+}  // namespace
+
+HttpServer::HttpServer(net::any_io_executor executor, HttpHandler handler)
+    : state(std::make_shared<State>(std::move(executor), std::move(handler))) {}
+
+HttpServer::~HttpServer() {
+  this->Stop();
+}
+
+tl::expected<void, std::string> HttpServer::Listen(const std::string& address) {
+  const auto endpoint = ParseSocketAddress(address);
+  if (!endpoint) {
+    return tl::unexpected("\"" + address + "\" is not an address");
+  }
+  const Tcp::endpoint local(endpoint->address, endpoint->port);
+  boost::system::error_code error;
+  Tcp::acceptor& acceptor = this->state->acceptor;
+  if (acceptor.open(local.protocol(), error) ||
+      acceptor.set_option(Tcp::acceptor::reuse_address(true), error) ||
+      acceptor.bind(local, error) ||
+      acceptor.listen(Tcp::acceptor::max_listen_connections, error)) {
+    return tl::unexpected(address + ": " + error.message());
+  }
+  net::co_spawn(acceptor.get_executor(), Accept(this->state), net::detached);
+  return {};
+}
+
+std::uint16_t HttpServer::Port() const {
+  return this->state->acceptor.local_endpoint().port();
+}
+
+void HttpServer::Stop() {
+  boost::system::error_code ignored;
+  this->state->acceptor.close(ignored);
+}
+
+}  // namespace acacia
--- a/src/router.cc
+++ b/src/router.cc
@@ -1,7 +1,8 @@
 #include "src/router.h"
 
 #include <algorithm>
-#include <cctype>
+
+#include "src/lower_case.h"
 
 namespace acacia {
 namespace {
--- /dev/null
+++ b/test/correctness/http_messages_test.cc
@@ -0,0 +1,51 @@
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+
+#include "src/http_client.h"
+#include "src/http_server.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+
+net::awaitable<HttpReply> Echo(HttpRequest request) {
+  HttpReply reply;
+  reply.drop = request.target == "/drop";
+  reply.headers["x-method"] = request.method;
+  reply.body = request.body;
+  co_return reply;
+}
+
+net::awaitable<void> Exchange(std::string address, bool* done) {
+  HttpClient client(address);
+  HttpRequest put{"PUT", "/a", {}, "body"};
+  const auto reply =
+      co_await client.Send(std::move(put), std::chrono::seconds(30));
+  REQUIRE(reply);
+  CHECK(reply->headers.at("x-method") == "PUT");
+  CHECK(reply->body == "body");
+  HttpRequest drop{"PUT", "/drop", {}, "body"};
+  const auto dropped =
+      co_await client.Send(std::move(drop), std::chrono::seconds(30));
+  REQUIRE_FALSE(dropped);
+  CHECK(dropped.error() == HttpClientError::kNoReply);
+  *done = true;
+}
+
+TEST_CASE(
+    "small HTTP messages go through and a lost reply is told from an unsent "
+    "request") {
+  net::io_context context;
+  HttpServer server(context.get_executor(), Echo);
+  REQUIRE(server.Listen("127.0.0.1:0"));
+  bool done = false;
+  net::co_spawn(context,
+                Exchange("127.0.0.1:" + std::to_string(server.Port()), &done),
+                [&](const std::exception_ptr&) { context.stop(); });
+  context.run();
+  CHECK(done);
+}
+
+}  // namespace
+}  // namespace acacia
--- /dev/null
+++ b/test/error/settings_test.cc
@@ -0,0 +1,53 @@
+#include "src/settings.h"
+
+#include <catch2/catch.hpp>
+#include <fstream>
+
+namespace acacia {
+namespace {
+
+std::string WriteTemporary(const std::string& text) {
+  const std::string file =
+      std::string(ACACIA_BINARY_DIR) + "/settings_test.json";
+  std::ofstream(file) << text;
+  return file;
+}
+
+TEST_CASE("settings with comments and trailing commas are read") {
+  const std::string file = WriteTemporary(R"({
+    // where the stand-in listens
+    "listen": "127.0.0.1:0", /* any port */
+    "list_lag_ms": 5,
+  })");
+  const auto settings = ReadPlatformStandinSettings(file);
+  REQUIRE(settings);
+  CHECK(settings->list_lag_ms == 5);
+}
+
+TEST_CASE("every unknown field is named with its line and the known ones") {
+  const std::string file = WriteTemporary(
+      "{\n\"listen\": \"127.0.0.1:0\",\n\"lagg\": 5,\n\"sed\": 1\n}");
+  const auto settings = ReadPlatformStandinSettings(file);
+  REQUIRE_FALSE(settings);
+  const std::string text = DescribeAll(settings.error());
+  CHECK(text.find(":3: lagg: unknown field (known fields: list") !=
+        std::string::npos);
+  CHECK(text.find(":4: sed: unknown field") != std::string::npos);
+}
+
+TEST_CASE("a missing required field, a wrong type and a bad address are told") {
+  const auto missing = ReadPlatformStandinSettings(WriteTemporary("{}"));
+  REQUIRE_FALSE(missing);
+  CHECK(DescribeAll(missing.error()).find("listen") != std::string::npos);
+  const auto type = ReadPlatformStandinSettings(
+      WriteTemporary("{\"listen\":\"127.0.0.1:0\",\n\"seed\": []}"));
+  REQUIRE_FALSE(type);
+  CHECK(type.error()[0].line == 2);
+  const auto address =
+      ReadPlatformStandinSettings(WriteTemporary("{\"listen\":\"localhost\"}"));
+  REQUIRE_FALSE(address);
+  CHECK(address.error()[0].field == "listen");
+}
+
+}  // namespace
+}  // namespace acacia
