--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -75,8 +75,8 @@
 }  // namespace
 
 struct HttpServer::State {
-  State(net::any_io_executor executor, HttpHandler handler)
-      : acceptor(std::move(executor)), handler(std::move(handler)) {}
+  State(const net::any_io_executor& executor, HttpHandler handler)
+      : acceptor(executor), handler(std::move(handler)) {}
 
   Tcp::acceptor acceptor;
   HttpHandler handler;
@@ -102,8 +102,9 @@
 
 }  // namespace
 
-HttpServer::HttpServer(net::any_io_executor executor, HttpHandler handler)
-    : state(std::make_shared<State>(std::move(executor), std::move(handler))) {}
+HttpServer::HttpServer(const net::any_io_executor& executor,
+                       HttpHandler handler)
+    : state(std::make_shared<State>(executor, std::move(handler))) {}
 
 HttpServer::~HttpServer() {
   this->Stop();
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -22,7 +22,7 @@
 // Connections keep the handler alive after the server is gone.
 class HttpServer {
  public:
-  HttpServer(boost::asio::any_io_executor executor, HttpHandler handler);
+  HttpServer(const boost::asio::any_io_executor& executor, HttpHandler handler);
   ~HttpServer();
 
   // Opens `address` ("ip:port", port 0: any) and starts to serve. The error is
