--- /dev/null
+++ b/src/query_string.h
@@ -0,0 +1,26 @@
+// Splits a request target into its path and decoded query parameters.
+#ifndef SRC_QUERY_STRING_H_
+#define SRC_QUERY_STRING_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace acacia {
+
+struct TargetParts {
+  std::string path;
+  // The first value of each name.
+  std::map<std::string, std::string> parameters;
+
+  // Empty when there is no such parameter.
+  std::string Parameter(const std::string& name) const;
+};
+
+// Nothing when the target is not in origin form ("/path?query").
+std::optional<TargetParts> ParseTarget(std::string_view target);
+
+}  // namespace acacia
+
+#endif  // SRC_QUERY_STRING_H_
