--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -34,6 +35,9 @@
   WorkClass work_class = WorkClass::kShort;
   AccountId account;
   bool idempotent = false;
+  // The request has no body, or all of it is held: a second attempt may run
+  // beside the first.
+  bool hedgeable = false;
   TimePoint deadline;
 };
 
@@ -104,6 +108,8 @@
     std::variant<StartAttempt, CancelAttempt, RelayAnswer, RefuseRequest>;
 using DispatchActions = std::vector<DispatchAction>;
 
+using AccountLimits = std::unordered_map<AccountId, AccountLimit>;
+
 // What the entry knows of a service; replaces what it knew before.
 struct ServiceView {
   ServicePolicy policy;
@@ -115,6 +121,8 @@
   // The instances that serve this service, in a stable order, and this one:
   // home assignment.
   std::vector<InstanceId> entries;
+  // Limits by account, each for this entry and service; null: none.
+  std::shared_ptr<const AccountLimits> accounts;
 };
 
 class Dispatcher {
