--- a/src/agent_core.h
+++ b/src/agent_core.h
@@ -10,12 +10,11 @@
 
 #include <memory>
 #include <string>
-#include <variant>
 #include <vector>
 
+#include "src/agent_actions.h"
 #include "src/clock.h"
 #include "src/generated/entry_link_generated.h"
-#include "src/generated/file_set_generated.h"
 #include "src/ids.h"
 #include "src/platform.h"
 #include "src/random_source.h"
@@ -33,41 +32,6 @@
   Duration answer_lifetime{};
 };
 
-// An unreliable message of at most kMaxDatagramBytes.
-struct SendDatagram {
-  PeerAddress to;
-  std::string bytes;
-};
-// A message of any size on a stream; lost when the peer cannot be reached.
-struct SendFrame {
-  PeerAddress to;
-  std::string bytes;
-};
-struct PublishConfiguration {
-  Generation generation;
-  std::shared_ptr<const schema::FileSetT> file_set;
-};
-struct PublishFleet {
-  std::shared_ptr<const schema::FleetUpdateT> update;
-};
-struct AnswerKeyClaim {
-  schema::KeyClaimReplyT reply;
-};
-
-using AgentAction = std::variant<ReadRow,
-                                 WriteRow,
-                                 ReadObject,
-                                 WriteObject,
-                                 ReadInstanceList,
-                                 SendDatagram,
-                                 SendFrame,
-                                 PublishConfiguration,
-                                 PublishFleet,
-                                 AnswerKeyClaim>;
-using AgentActions = std::vector<AgentAction>;
-
-inline constexpr std::size_t kMaxDatagramBytes = 1200;
-
 class AgentCore {
  public:
   AgentCore(AgentIdentity identity,
