Dispatch with home backend servers, limits, a fair queue and truthful outcomes

Cause: the first dispatcher sent each request to the least loaded backend server by its own count, had no queue and no retry. Change: home backend servers by bounded rendezvous hashing with spill to the less loaded of two others; a limit per backend server that refusals lower and answers raise; a bounded queue per work class, fair between accounts, with a start-by time; retries under a budget; account limits; long work confined to a share of the backend servers and of their slots. An attempt that may have run marks its request for good, so that not-run cannot be claimed later. Ruled out: counting tried-and-refused backend servers as failed (a refusal is over in milliseconds; the limit's pause covers it); a retry budget alone for refusals (a crest would shed while slots stand free).

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -1,139 +1,486 @@
 #include "src/dispatcher.h"
 
+#include <algorithm>
 #include <unordered_map>
+#include <utility>
+
+#include "src/account_limiter.h"
+#include "src/admission_queue.h"
+#include "src/backend_pool.h"
+#include "src/check.h"
+#include "src/retry_budget.h"
 
 namespace acacia {
 
 namespace {
 
+constexpr std::uint32_t kMostAttempts = 8;
+// Attempts that may have run, of one idempotent request.
+constexpr std::uint32_t kMostUncertainAttempts = 3;
+// While requests wait, room is looked for at least this often.
+constexpr Duration kQueuePoll = std::chrono::milliseconds(20);
+
+struct RunningAttempt {
+  AttemptId id;
+  PooledBackend* backend = nullptr;
+  TimePoint started;
+};
+
 struct RequestState {
   Work work;
-  AttemptId attempt;
-  BackendId backend;
+  bool account_limited = false;
+  AttemptId last_attempt;
+  std::vector<RunningAttempt> running;
+  // The attempt whose answer is relayed.
+  std::optional<AttemptId> relayed;
+  // Why the caller would be told that the request may have run: the last
+  // attempt of which that is not known to be false.
+  std::optional<ErrorKind> uncertain;
+  std::uint32_t uncertain_attempts = 0;
+  // Backend servers that failed this request.
+  std::vector<BackendId> failed;
 };
 
+// Nothing when the attempt provably did not run, or succeeded.
+std::optional<ErrorKind> UncertainKind(AttemptResult result) {
+  switch (result) {
+    case AttemptResult::kSuccess:
+    case AttemptResult::kNotSent:
+    case AttemptResult::kRefused:
+      return std::nullopt;
+    case AttemptResult::kServerError:
+    case AttemptResult::kBroken:
+      return ErrorKind::kBackendBroken;
+    case AttemptResult::kTimedOut:
+      return ErrorKind::kBackendTimeout;
+    case AttemptResult::kTruncated:
+      return ErrorKind::kTruncatedAnswer;
+    case AttemptResult::kMismatched:
+      return ErrorKind::kWrongAnswer;
+    case AttemptResult::kCancelled:
+      return ErrorKind::kCallerLeft;
+  }
+  return ErrorKind::kInternal;
+}
+
 }  // namespace
 
 struct Dispatcher::State {
-  ServiceView view;
-  std::unordered_map<RequestId, RequestState> requests;
-  std::map<BackendId, std::uint32_t> in_flight;
+  State(const ServiceName& service,
+        const InstanceId& self,
+        std::unique_ptr<RandomSource> source)
+      : random(std::move(source)), pool(service, self, *this->random) {}
 
-  std::optional<BackendId> PickLeastLoaded() const;
-  void Release(RequestId request);
+  RequestState* Find(RequestId request);
+  RunningAttempt* FindAttempt(RequestState& request, AttemptId attempt);
+  bool Admit(const Work& work, TimePoint now);
+  void Enqueue(RequestState& request, TimePoint now);
+  bool TryStart(RequestState& request, TimePoint now);
+  void StartOn(RequestState& request, PooledBackend& backend, TimePoint now);
+  void Pump(TimePoint now);
+  void PumpClass(WorkClass work_class, TimePoint now);
+  void RefuseWaitingWithoutChoice();
+  void EndAttempt(RequestState& request, AttemptId attempt);
+  void CancelAll(RequestState& request);
+  void MarkUncertain(RequestState& request, ErrorKind kind);
+  bool MayRetry(const RequestState& request,
+                AttemptResult result,
+                bool replayable,
+                TimePoint now);
+  void Retry(RequestState& request, TimePoint now);
+  void Refuse(RequestId request, ErrorKind not_run_kind);
+  void Finish(RequestId request);
+  void Learn(const RunningAttempt& attempt,
+             AttemptResult result,
+             TimePoint now);
+  void ExpireRunning(TimePoint now);
+  void Arm(TimePoint now);
+  DispatchActions TakeActions(TimePoint now);
+
+  std::unique_ptr<RandomSource> random;
+  BackendPool pool;
+  AdmissionQueue queue;
+  RetryBudget budget;
+  AccountLimiter account_limiter;
+  std::shared_ptr<const AccountLimits> accounts;
+  std::unordered_map<RequestId, RequestState> requests;
+  // Requests with attempts, none of them relayed, by deadline.
+  std::set<std::pair<TimePoint, RequestId>> by_deadline;
+  std::optional<TimePoint> wake;
+  DispatchActions actions;
 };
 
-std::optional<BackendId> Dispatcher::State::PickLeastLoaded() const {
-  std::optional<BackendId> best;
-  std::uint32_t best_load = 0;
-  for (const BackendServer& backend : this->view.backend_servers) {
-    if (this->view.ejected.contains(backend.id) ||
-        this->view.leaving.contains(backend.id)) {
-      continue;
+RequestState* Dispatcher::State::Find(RequestId request) {
+  const auto found = this->requests.find(request);
+  return found == this->requests.end() ? nullptr : &found->second;
+}
+
+RunningAttempt* Dispatcher::State::FindAttempt(RequestState& request,
+                                               AttemptId attempt) {
+  for (RunningAttempt& running : request.running) {
+    if (running.id == attempt) {
+      return &running;
     }
-    const auto found = this->in_flight.find(backend.id);
-    const std::uint32_t load =
-        found == this->in_flight.end() ? 0 : found->second;
-    if (load < backend.slots && (!best || load < best_load)) {
-      best = backend.id;
-      best_load = load;
+  }
+  return nullptr;
+}
+
+bool Dispatcher::State::Admit(const Work& work, TimePoint now) {
+  if (!this->accounts) {
+    return true;
+  }
+  const auto found = this->accounts->find(work.account);
+  return found == this->accounts->end() ||
+         this->account_limiter.Admit(work.account, found->second, now);
+}
+
+void Dispatcher::State::Enqueue(RequestState& request, TimePoint now) {
+  const Work& work = request.work;
+  const WaitingRequest waiting{work.request, work.account, work.work_class,
+                               work.deadline};
+  const std::optional<RequestId> shed = this->queue.Push(waiting, now);
+  if (shed) {
+    this->Refuse(*shed, ErrorKind::kQueueFull);
+  }
+}
+
+bool Dispatcher::State::TryStart(RequestState& request, TimePoint now) {
+  PooledBackend* backend = this->pool.Pick(
+      {request.work.work_class, request.work.idempotent, request.failed}, now);
+  if (backend == nullptr) {
+    return false;
+  }
+  this->StartOn(request, *backend, now);
+  return true;
+}
+
+void Dispatcher::State::StartOn(RequestState& request,
+                                PooledBackend& backend,
+                                TimePoint now) {
+  const Work& work = request.work;
+  request.last_attempt = request.last_attempt.Next();
+  request.running.push_back({request.last_attempt, &backend, now});
+  this->pool.OnStart(backend, work.work_class, now);
+  this->by_deadline.emplace(work.deadline, work.request);
+  this->actions.push_back(StartAttempt{work.request, request.last_attempt,
+                                       backend.server.id, !work.idempotent});
+}
+
+void Dispatcher::State::Pump(TimePoint now) {
+  this->PumpClass(WorkClass::kShort, now);
+  this->PumpClass(WorkClass::kLong, now);
+}
+
+void Dispatcher::State::PumpClass(WorkClass work_class, TimePoint now) {
+  while (const std::optional<RequestId> next =
+             this->queue.Front(work_class, now)) {
+    RequestState* request = this->Find(*next);
+    ACACIA_CHECK(request != nullptr);
+    if (!this->TryStart(*request, now)) {
+      return;
     }
+    this->queue.PopFront(*next);
   }
-  return best;
 }
 
-void Dispatcher::State::Release(RequestId request) {
-  const auto found = this->requests.find(request);
-  if (found == this->requests.end()) {
+void Dispatcher::State::RefuseWaitingWithoutChoice() {
+  if (this->queue.IsEmpty()) {
     return;
   }
-  --this->in_flight[found->second.backend];
+  std::vector<RequestId> hopeless;
+  for (const auto& [id, request] : this->requests) {
+    if (request.running.empty() && !this->pool.HasChoice(request.failed)) {
+      hopeless.push_back(id);
+    }
+  }
+  std::sort(hopeless.begin(), hopeless.end());
+  for (const RequestId id : hopeless) {
+    this->Refuse(id, ErrorKind::kNoBackend);
+  }
+}
+
+// Frees the attempt's slot and forgets it.
+void Dispatcher::State::EndAttempt(RequestState& request, AttemptId attempt) {
+  const auto found = std::find_if(
+      request.running.begin(), request.running.end(),
+      [attempt](const RunningAttempt& each) { return each.id == attempt; });
+  PooledBackend* backend = found->backend;
+  request.running.erase(found);
+  this->pool.OnRelease(*backend, request.work.work_class);
+  if (request.running.empty()) {
+    this->by_deadline.erase({request.work.deadline, request.work.request});
+  }
+}
+
+void Dispatcher::State::CancelAll(RequestState& request) {
+  while (!request.running.empty()) {
+    const AttemptId attempt = request.running.back().id;
+    this->actions.push_back(CancelAttempt{request.work.request, attempt});
+    this->EndAttempt(request, attempt);
+  }
+}
+
+void Dispatcher::State::MarkUncertain(RequestState& request, ErrorKind kind) {
+  request.uncertain = kind;
+  ++request.uncertain_attempts;
+}
+
+bool Dispatcher::State::MayRetry(const RequestState& request,
+                                 AttemptResult result,
+                                 bool replayable,
+                                 TimePoint now) {
+  const bool not_run = !UncertainKind(result).has_value();
+  if (!replayable || now >= request.work.deadline ||
+      request.last_attempt.Value() >= kMostAttempts ||
+      !this->pool.HasChoice(request.failed)) {
+    return false;
+  }
+  if (result == AttemptResult::kRefused) {
+    return this->budget.SpendAfterRefusal();
+  }
+  if (!not_run && (!request.work.idempotent ||
+                   request.uncertain_attempts >= kMostUncertainAttempts)) {
+    return false;
+  }
+  return this->budget.Spend();
+}
+
+void Dispatcher::State::Retry(RequestState& request, TimePoint now) {
+  if (!this->TryStart(request, now)) {
+    this->Enqueue(request, now);
+  }
+}
+
+// Ends the request. The kind given holds only if no attempt may have run.
+void Dispatcher::State::Refuse(RequestId request, ErrorKind not_run_kind) {
+  RequestState* found = this->Find(request);
+  ACACIA_CHECK(found != nullptr);
+  const ErrorKind kind = found->uncertain.value_or(not_run_kind);
+  this->actions.push_back(RefuseRequest{request, kind});
+  this->Finish(request);
+}
+
+void Dispatcher::State::Finish(RequestId request) {
+  const auto found = this->requests.find(request);
+  if (found->second.account_limited) {
+    this->account_limiter.Release(found->second.work.account);
+  }
+  this->queue.Remove(request);
   this->requests.erase(found);
 }
 
-Dispatcher::Dispatcher(const ServiceName& /*service*/,
-                       const InstanceId& /*self*/,
-                       std::unique_ptr<RandomSource> /*random*/,
+void Dispatcher::State::Learn(const RunningAttempt& attempt,
+                              AttemptResult result,
+                              TimePoint now) {
+  PooledBackend& backend = *attempt.backend;
+  switch (result) {
+    case AttemptResult::kRefused:
+      ++backend.counts.refused;
+      backend.limit.OnRefused(backend.InFlight() - 1, now, *this->random);
+      return;
+    case AttemptResult::kSuccess:
+      backend.limit.OnAnswer(backend.InFlight());
+      this->budget.OnAnswer();
+      return;
+    case AttemptResult::kCancelled:
+      return;
+    default:
+      ++backend.counts.failures;
+  }
+}
+
+void Dispatcher::State::ExpireRunning(TimePoint now) {
+  while (!this->by_deadline.empty() &&
+         this->by_deadline.begin()->first <= now) {
+    const RequestId id = this->by_deadline.begin()->second;
+    RequestState& request = *this->Find(id);
+    this->MarkUncertain(request, ErrorKind::kBackendTimeout);
+    this->CancelAll(request);
+    this->Refuse(id, ErrorKind::kBackendTimeout);
+  }
+}
+
+void Dispatcher::State::Arm(TimePoint now) {
+  this->wake = this->queue.NextExpiry();
+  const auto sooner = [this](TimePoint at) {
+    this->wake = std::min(this->wake.value_or(at), at);
+  };
+  if (!this->by_deadline.empty()) {
+    sooner(this->by_deadline.begin()->first);
+  }
+  if (!this->queue.IsEmpty()) {
+    sooner(std::min(this->pool.NextOpening(now).value_or(now + kQueuePoll),
+                    now + kQueuePoll));
+  }
+}
+
+DispatchActions Dispatcher::State::TakeActions(TimePoint now) {
+  this->Pump(now);
+  this->Arm(now);
+  return std::exchange(this->actions, {});
+}
+
+Dispatcher::Dispatcher(const ServiceName& service,
+                       const InstanceId& self,
+                       std::unique_ptr<RandomSource> random,
                        const ServiceView& view,
-                       TimePoint /*now*/)
-    : state(std::make_unique<State>()) {
-  this->state->view = view;
+                       TimePoint now)
+    : state(std::make_unique<State>(service, self, std::move(random))) {
+  this->OnView(view, now);
 }
 
 Dispatcher::~Dispatcher() = default;
 
-DispatchActions Dispatcher::OnView(const ServiceView& view, TimePoint /*now*/) {
-  this->state->view = view;
-  return {};
+DispatchActions Dispatcher::OnView(const ServiceView& view, TimePoint now) {
+  this->state->pool.Apply(view, now);
+  this->state->queue.Configure(view.policy.queue_length);
+  this->state->budget.Configure(view.policy.retry_budget_percent);
+  this->state->accounts = view.accounts;
+  this->state->RefuseWaitingWithoutChoice();
+  return this->state->TakeActions(now);
 }
 
-DispatchActions Dispatcher::OnRequest(const Work& work, TimePoint /*now*/) {
-  const std::optional<BackendId> backend = this->state->PickLeastLoaded();
-  if (!backend) {
-    return {RefuseRequest{work.request, ErrorKind::kNoBackend}};
+DispatchActions Dispatcher::OnRequest(const Work& work, TimePoint now) {
+  State& state = *this->state;
+  if (!state.Admit(work, now)) {
+    return {RefuseRequest{work.request, ErrorKind::kAccountLimited}};
+  }
+  const bool limited = state.accounts && state.accounts->contains(work.account);
+  RequestState& request = state.requests[work.request];
+  request.work = work;
+  request.account_limited = limited;
+  state.budget.OnRequest();
+  if (work.deadline <= now) {
+    state.Refuse(work.request, ErrorKind::kDeadlineTooShort);
+  } else if (!state.pool.HasChoice({})) {
+    state.Refuse(work.request, ErrorKind::kNoBackend);
+  } else if (state.queue.Size(work.work_class) > 0 ||
+             !state.TryStart(request, now)) {
+    state.Enqueue(request, now);
   }
-  const AttemptId first(1);
-  this->state->requests[work.request] = {work, first, *backend};
-  ++this->state->in_flight[*backend];
-  return {StartAttempt{work.request, first, *backend, !work.idempotent}};
+  return state.TakeActions(now);
 }
 
-DispatchActions Dispatcher::OnAnswerHead(RequestId request,
-                                         AttemptId attempt,
-                                         int /*http_status*/,
-                                         bool /*replayable*/,
-                                         TimePoint /*now*/) {
-  return {RelayAnswer{request, attempt}};
+DispatchActions Dispatcher::OnAnswerHead(RequestId request_id,
+                                         AttemptId attempt_id,
+                                         int http_status,
+                                         bool replayable,
+                                         TimePoint now) {
+  State& state = *this->state;
+  RequestState* request = state.Find(request_id);
+  RunningAttempt* attempt =
+      request == nullptr ? nullptr : state.FindAttempt(*request, attempt_id);
+  if (attempt == nullptr || request->relayed) {
+    return {};
+  }
+  const bool server_error = http_status >= 500;
+  const AttemptResult result =
+      server_error ? AttemptResult::kServerError : AttemptResult::kSuccess;
+  state.Learn(*attempt, result, now);
+  if (server_error) {
+    state.MarkUncertain(*request, ErrorKind::kBackendBroken);
+    request->failed.push_back(attempt->backend->server.id);
+    const bool others = request->running.size() > 1;
+    if (others || state.MayRetry(*request, result, replayable, now)) {
+      state.actions.push_back(CancelAttempt{request_id, attempt_id});
+      state.EndAttempt(*request, attempt_id);
+      if (!others) {
+        state.Retry(*request, now);
+      }
+      return state.TakeActions(now);
+    }
+  }
+  for (std::size_t i = request->running.size(); i-- > 0;) {
+    const AttemptId other = request->running[i].id;
+    if (!(other == attempt_id)) {
+      state.actions.push_back(CancelAttempt{request_id, other});
+      state.EndAttempt(*request, other);
+    }
+  }
+  request->relayed = attempt_id;
+  state.by_deadline.erase({request->work.deadline, request_id});
+  state.actions.push_back(RelayAnswer{request_id, attempt_id});
+  return state.TakeActions(now);
 }
 
 DispatchActions Dispatcher::OnAttemptEnd(const AttemptReport& report,
-                                         TimePoint /*now*/) {
-  this->state->Release(report.request);
-  switch (report.result) {
-    case AttemptResult::kSuccess:
-    case AttemptResult::kServerError:
-    case AttemptResult::kCancelled:
-      return {};
-    case AttemptResult::kNotSent:
-      return {RefuseRequest{report.request, ErrorKind::kConnectFailed}};
-    case AttemptResult::kRefused:
-      return {RefuseRequest{report.request, ErrorKind::kBackendRefused}};
-    case AttemptResult::kBroken:
-      return {RefuseRequest{report.request, ErrorKind::kBackendBroken}};
-    case AttemptResult::kTimedOut:
-      return {RefuseRequest{report.request, ErrorKind::kBackendTimeout}};
-    case AttemptResult::kTruncated:
-      return {RefuseRequest{report.request, ErrorKind::kTruncatedAnswer}};
-    case AttemptResult::kMismatched:
-      return {RefuseRequest{report.request, ErrorKind::kWrongAnswer}};
+                                         TimePoint now) {
+  State& state = *this->state;
+  RequestState* request = state.Find(report.request);
+  RunningAttempt* attempt = request == nullptr
+                                ? nullptr
+                                : state.FindAttempt(*request, report.attempt);
+  if (attempt == nullptr) {
+    return {};
+  }
+  if (report.leaving) {
+    state.pool.OnLeavingSeen(*attempt->backend, now);
+  }
+  if (request->relayed) {
+    if (report.result != AttemptResult::kSuccess &&
+        report.result != AttemptResult::kServerError) {
+      state.Learn(*attempt, report.result, now);
+    }
+    state.EndAttempt(*request, report.attempt);
+    state.Finish(report.request);
+    return state.TakeActions(now);
   }
-  return {};
+  state.Learn(*attempt, report.result, now);
+  const std::optional<ErrorKind> uncertain = UncertainKind(report.result);
+  if (uncertain || report.result == AttemptResult::kSuccess) {
+    state.MarkUncertain(*request, uncertain.value_or(ErrorKind::kInternal));
+  }
+  if (report.result != AttemptResult::kRefused) {
+    request->failed.push_back(attempt->backend->server.id);
+  }
+  state.EndAttempt(*request, report.attempt);
+  if (!request->running.empty()) {
+    return state.TakeActions(now);
+  }
+  if (state.MayRetry(*request, report.result, report.replayable, now)) {
+    state.Retry(*request, now);
+  } else {
+    state.Refuse(report.request, report.result == AttemptResult::kRefused
+                                     ? ErrorKind::kBackendRefused
+                                     : ErrorKind::kConnectFailed);
+  }
+  return state.TakeActions(now);
 }
 
-DispatchActions Dispatcher::OnCallerLeft(RequestId request, TimePoint /*now*/) {
-  this->state->Release(request);
-  return {};
+DispatchActions Dispatcher::OnCallerLeft(RequestId request_id, TimePoint now) {
+  State& state = *this->state;
+  RequestState* request = state.Find(request_id);
+  if (request == nullptr) {
+    return {};
+  }
+  state.CancelAll(*request);
+  state.Finish(request_id);
+  return state.TakeActions(now);
 }
 
 std::optional<TimePoint> Dispatcher::NextTimer() const {
-  return std::nullopt;
+  return this->state->wake;
 }
 
-DispatchActions Dispatcher::OnTimer(TimePoint /*now*/) {
-  return {};
+DispatchActions Dispatcher::OnTimer(TimePoint now) {
+  State& state = *this->state;
+  for (const RequestId expired : state.queue.TakeExpired(now)) {
+    state.Refuse(expired, ErrorKind::kDeadlineTooShort);
+  }
+  state.ExpireRunning(now);
+  return state.TakeActions(now);
 }
 
-std::vector<schema::BackendEvidenceT> Dispatcher::TakeEvidence(
-    TimePoint /*now*/) {
-  return {};
+std::vector<schema::BackendEvidenceT> Dispatcher::TakeEvidence(TimePoint now) {
+  return this->state->pool.TakeEvidence(now);
 }
 
 std::uint32_t Dispatcher::InFlight() const {
   return static_cast<std::uint32_t>(this->state->requests.size());
 }
 
-std::vector<std::string> Dispatcher::Explain(TimePoint /*now*/) const {
-  return {};
+std::vector<std::string> Dispatcher::Explain(TimePoint now) const {
+  return this->state->pool.Explain(now);
 }
 
 }  // namespace acacia
--- /dev/null
+++ b/src/retry_budget.cc
@@ -0,0 +1,46 @@
+#include "src/retry_budget.h"
+
+#include <algorithm>
+
+namespace acacia {
+
+namespace {
+
+constexpr double kMostSavedRetries = 10;
+constexpr double kRefusalRetriesPerAnswer = 1;
+constexpr double kMostSavedRefusalRetries = 20;
+
+bool Take(double& saved) {
+  if (saved < 1) {
+    return false;
+  }
+  saved -= 1;
+  return true;
+}
+
+}  // namespace
+
+void RetryBudget::Configure(std::uint32_t percent) {
+  this->earned_per_request = percent / 100.0;
+}
+
+void RetryBudget::OnRequest() {
+  this->retries =
+      std::min(this->retries + this->earned_per_request, kMostSavedRetries);
+}
+
+void RetryBudget::OnAnswer() {
+  this->refusal_retries =
+      std::min(this->refusal_retries + kRefusalRetriesPerAnswer,
+               kMostSavedRefusalRetries);
+}
+
+bool RetryBudget::Spend() {
+  return Take(this->retries);
+}
+
+bool RetryBudget::SpendAfterRefusal() {
+  return Take(this->refusal_retries) || Take(this->retries);
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/work_split.cc
@@ -0,0 +1,29 @@
+#include "src/work_split.h"
+
+#include <algorithm>
+#include <string>
+
+#include "src/rendezvous.h"
+
+namespace acacia {
+
+std::uint32_t LongSlots(std::uint32_t slots, std::uint32_t percent) {
+  return std::max(slots * percent / 100, 1U);
+}
+
+std::vector<std::size_t> LongHosts(const ServiceName& service,
+                                   const std::vector<BackendId>& backends,
+                                   std::uint32_t percent) {
+  std::vector<RendezvousNode> nodes;
+  nodes.reserve(backends.size());
+  for (const BackendId& backend : backends) {
+    nodes.push_back({backend.Value()});
+  }
+  const bool split = backends.size() >= kMinBackendServersToSplit;
+  const std::size_t count =
+      split ? std::max<std::size_t>(backends.size() * percent / 100, 1)
+            : backends.size();
+  return RankByRendezvous("long/" + service.Value(), nodes, count);
+}
+
+}  // namespace acacia
