Give each settings test a file of its own

Cause: a settings test failed in parallel runs (lagg == listen): CTest runs each case in a process of its own and they shared one file. Ruled out: the settings reader; the text it read was the other test's. Change: the file's name carries the process id. Conclusion: the verdict no longer depends on what runs beside it.

--- a/test/error/settings_test.cc
+++ b/test/error/settings_test.cc
@@ -1,5 +1,7 @@
 #include "src/settings.h"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <fstream>
 
@@ -7,8 +9,9 @@
 namespace {
 
 std::string WriteTemporary(const std::string& text) {
-  const std::string file =
-      std::string(ACACIA_BINARY_DIR) + "/settings_test.json";
+  // CTest runs each case in a process of its own, several at a time.
+  const std::string file = std::string(ACACIA_BINARY_DIR) + "/settings_test_" +
+                           std::to_string(getpid()) + ".json";
   std::ofstream(file) << text;
   return file;
 }
