--- a/test/error/settings_test.cc
+++ b/test/error/settings_test.cc
@@ -1,5 +1,7 @@
 #include "src/settings.h"
 
+#include <unistd.h>
+
 #include <catch2/catch.hpp>
 #include <fstream>
 
