--- a/src/settings.cc
+++ b/src/settings.cc
@@ -127,4 +127,19 @@
       });
 }
 
+tl::expected<schema::LoadSettingsT, UserErrors> ReadLoadSettings(
+    const std::string& file) {
+  return ReadChecked<schema::LoadSettings>(
+      file, [](const schema::LoadSettingsT& settings) {
+        std::vector<AddressField> fields;
+        for (const std::string& entry : settings.entries) {
+          fields.push_back({"entries", entry});
+        }
+        for (const std::string& ledger : settings.ledgers) {
+          fields.push_back({"ledgers", ledger});
+        }
+        return fields;
+      });
+}
+
 }  // namespace acacia
--- a/src/settings.h
+++ b/src/settings.h
@@ -23,6 +23,8 @@
 ReadBackendStandinSettings(const std::string& file);
 tl::expected<schema::FaultProxySettingsT, UserErrors> ReadFaultProxySettings(
     const std::string& file);
+tl::expected<schema::LoadSettingsT, UserErrors> ReadLoadSettings(
+    const std::string& file);
 
 }  // namespace acacia
 
