Emulate a backend server with gray modes and a ledger

Tests and the demo need a backend server whose truth can be read: each work id's runs, body length and hash. It sheds beyond its slots, drains, starts cold, honours deadlines and closed connections, and can be slow, failing, silent, truncating, answering for another request, or so only to some callers.

Found on the way: g++ 12 compiles a loop with an empty body and co_await in its condition into a trap; the loop now has a body.

--- /dev/null
+++ b/standin/backend_standin.cc
@@ -0,0 +1,509 @@
+#include "standin/backend_standin.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/beast.hpp>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "src/socket_address.h"
+#include "standin/backend_state.h"
+#include "standin/work_body.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = net::ip::tcp;
+using namespace net::experimental::awaitable_operators;  // NOLINT
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+constexpr std::size_t kBodyBufferBytes = 64 * 1024;
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+constexpr std::size_t kMaxControlBytes = 64 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 256 * 1024 * 1024;
+// How long a refused caller's unread body is taken in, so that the refusal is
+// not lost in a reset.
+constexpr std::chrono::seconds kLingerTimeout{2};
+
+using Parser = http::request_parser<http::buffer_body>;
+
+struct WorkRequest {
+  std::string id;
+  std::string request_id;
+  bool head = false;
+  bool is_long = false;
+  bool chunked_answer = false;
+  std::size_t answer_bytes = 0;
+  std::optional<TimePoint> deadline;
+  bool keep_alive = true;
+};
+
+struct BodyDigest {
+  std::uint64_t bytes = 0;
+  std::uint64_t hash = 0;
+};
+
+std::optional<std::uint64_t> ReadNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  std::istringstream in{std::string(text)};
+  if (in >> number) {
+    return number;
+  }
+  return std::nullopt;
+}
+
+WorkRequest Describe(const http::request<http::buffer_body>& from,
+                     TimePoint now) {
+  WorkRequest work;
+  work.id = std::string(from["X-Work-Id"]);
+  work.request_id = std::string(from["Acacia-Request-Id"]);
+  work.head = from.method() == http::verb::head;
+  work.is_long = from["X-Work-Class"] == "long" ||
+                 from.target().starts_with("/long") ||
+                 from.target().starts_with("/takes") ||
+                 from.target().starts_with("/archives");
+  work.chunked_answer = from["X-Answer-Chunked"] == "true";
+  const std::size_t default_bytes = work.id.size() + 1;
+  work.answer_bytes =
+      std::min(ReadNumber(from["X-Answer-Bytes"]).value_or(default_bytes),
+               kMaxAnswerBytes);
+  if (const auto left = ReadNumber(from["Acacia-Deadline-Ms"])) {
+    work.deadline = now + std::chrono::milliseconds(*left);
+  }
+  work.keep_alive = from.keep_alive();
+  return work;
+}
+
+// Gives the slot back when the work ends, however it ends.
+class SlotHold {
+ public:
+  explicit SlotHold(BackendState& backend) : backend(backend) {}
+  ~SlotHold() { this->backend.Release(SystemClock().Now()); }
+  SlotHold(const SlotHold&) = delete;
+  SlotHold& operator=(const SlotHold&) = delete;
+
+ private:
+  BackendState& backend;
+};
+
+class Session {
+ public:
+  Session(Tcp::socket socket, std::shared_ptr<BackendStandin::State> server);
+  ~Session();
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  net::awaitable<void> Serve();
+
+ private:
+  using Response = http::response<http::string_body>;
+
+  // Each returns whether the connection can take another request.
+  net::awaitable<bool> ServeRequest();
+  net::awaitable<bool> ServeControl(Parser& parser);
+  net::awaitable<bool> ServeWork(Parser& parser);
+  net::awaitable<bool> Refuse(Parser& parser, const WorkRequest& work);
+  net::awaitable<bool> Run(const WorkRequest& work);
+  net::awaitable<bool> Answer(const WorkRequest& work, FaultKind fault);
+  net::awaitable<bool> Write(Response& response);
+
+  net::awaitable<std::optional<BodyDigest>> ReceiveBody(Parser& parser);
+  net::awaitable<std::optional<std::string>> ReceiveSmallBody(Parser& parser);
+  net::awaitable<bool> ContinueIfExpected(const Parser& parser);
+  // False when the caller closed the connection first.
+  net::awaitable<bool> WaitUnlessClosed(Duration time);
+  net::awaitable<void> StaySilent();
+  net::awaitable<void> Linger();
+
+  Response MakeResponse(const WorkRequest& work, int status);
+  TimePoint Now() const { return SystemClock().Now(); }
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::shared_ptr<BackendStandin::State> server;
+  BackendState& backend;
+  FaultSubject subject;
+};
+
+}  // namespace
+
+struct BackendStandin::State {
+  State(const net::any_io_executor& executor,
+        schema::BackendStandinSettingsT settings)
+      : acceptor(executor), backend(std::move(settings), SystemClock().Now()) {}
+
+  Tcp::acceptor acceptor;
+  BackendState backend;
+};
+
+namespace {
+
+Session::Session(Tcp::socket socket,
+                 std::shared_ptr<BackendStandin::State> server)
+    : stream(std::move(socket)),
+      server(std::move(server)),
+      backend(this->server->backend) {
+  boost::system::error_code error;
+  const auto remote = this->stream.socket().remote_endpoint(error);
+  if (!error) {
+    this->subject.caller_address = remote.address().to_string();
+    this->subject.caller_port = remote.port();
+  }
+  this->stream.socket().set_option(Tcp::no_delay(true), error);
+  ++this->backend.connections;
+  auto& most = this->backend.ledger.totals.max_connections;
+  most = std::max<std::uint64_t>(most, this->backend.connections);
+}
+
+Session::~Session() {
+  --this->backend.connections;
+}
+
+net::awaitable<void> Session::Serve() {
+  bool open = true;
+  while (open) {
+    open = co_await this->ServeRequest();
+  }
+}
+
+net::awaitable<bool> Session::ServeRequest() {
+  Parser parser;
+  parser.header_limit(kMaxHeaderBytes);
+  parser.body_limit(boost::none);
+  const auto [error, read] = co_await http::async_read_header(
+      this->stream, this->buffer, parser, kAwait);
+  if (error) {
+    co_return false;
+  }
+  const std::string_view target = parser.get().target();
+  const bool is_control = target.starts_with("/standin/") ||
+                          target == "/health" || target == "/load";
+  if (is_control) {
+    co_return co_await this->ServeControl(parser);
+  }
+  co_return co_await this->ServeWork(parser);
+}
+
+net::awaitable<bool> Session::ServeControl(Parser& parser) {
+  const auto body = co_await this->ReceiveSmallBody(parser);
+  if (!body) {
+    co_return false;
+  }
+  const std::string target(parser.get().target());
+  Response response;
+  response.version(11);
+  response.result(http::status::ok);
+  tl::expected<void, std::string> result;
+  if (target == "/health") {
+    const bool shown = this->backend.AreFaultsShown(this->Now());
+    response.result(shown ? http::status::service_unavailable
+                          : http::status::ok);
+  } else if (target == "/load") {
+    response.body() = "{\"load_permille\": " +
+                      std::to_string(this->backend.ReportedLoad(this->Now())) +
+                      "}";
+  } else if (target == "/standin/ledger" || target == "/standin/totals") {
+    response.body() = this->backend.ledger.Json(target == "/standin/ledger");
+  } else if (target == "/standin/faults") {
+    result = this->backend.SetFaults(*body, this->Now());
+  } else if (target == "/standin/state") {
+    result = this->backend.SetState(*body, this->Now());
+  } else {
+    response.result(http::status::not_found);
+  }
+  if (!result) {
+    response.result(http::status::bad_request);
+    response.body() = result.error();
+  }
+  response.keep_alive(parser.get().keep_alive());
+  response.prepare_payload();
+  co_return co_await this->Write(response);
+}
+
+net::awaitable<bool> Session::ServeWork(Parser& parser) {
+  const WorkRequest work = Describe(parser.get(), this->Now());
+  this->subject.request_id = work.request_id;
+  if (this->backend.connections > this->backend.settings.max_connections) {
+    ++this->backend.ledger.totals.shed;
+    co_return co_await this->Refuse(parser, work);
+  }
+  if (this->backend.Admit(this->Now()) != Admission::kAdmitted) {
+    co_return co_await this->Refuse(parser, work);
+  }
+  const SlotHold slot(this->backend);
+  if (!co_await this->ContinueIfExpected(parser)) {
+    co_return false;
+  }
+  const auto body = co_await this->ReceiveBody(parser);
+  if (!body) {
+    ++this->backend.ledger.totals.cancelled_before_start;
+    co_return false;
+  }
+  if (work.deadline && this->Now() >= *work.deadline) {
+    ++this->backend.ledger.totals.expired;
+    co_return co_await this->Refuse(parser, work);
+  }
+  if (!co_await this->WaitUnlessClosed(Duration::zero())) {
+    ++this->backend.ledger.totals.cancelled_before_start;
+    co_return false;
+  }
+  this->backend.ledger.AddRun(work.id, body->bytes, body->hash);
+  co_return co_await this->Run(work);
+}
+
+net::awaitable<bool> Session::Run(const WorkRequest& work) {
+  const TimePoint start = this->Now();
+  Duration time = this->backend.ServiceTime(work.is_long, this->subject, start);
+  const bool expires = work.deadline && start + time > *work.deadline;
+  if (expires) {
+    time = *work.deadline - start;
+  }
+  if (time > Duration::zero() && !co_await this->WaitUnlessClosed(time)) {
+    ++this->backend.ledger.totals.cancelled_running;
+    co_return false;
+  }
+  if (expires) {
+    Response response = this->MakeResponse(work, 504);
+    response.prepare_payload();
+    co_return co_await this->Write(response);
+  }
+  const FaultKind fault = this->backend.Fault(this->subject, this->Now());
+  co_return co_await this->Answer(work, fault);
+}
+
+Session::Response Session::MakeResponse(const WorkRequest& work, int status) {
+  Response response;
+  response.version(11);
+  response.result(static_cast<unsigned>(status));
+  response.set("X-Backend", this->backend.settings.name);
+  response.set("Acacia-Load",
+               std::to_string(this->backend.ReportedLoad(this->Now())));
+  if (!work.id.empty()) {
+    response.set("X-Work-Id", work.id);
+  }
+  if (!work.request_id.empty()) {
+    response.set("Acacia-Request-Id", work.request_id);
+  }
+  if (this->backend.IsLeaving()) {
+    response.set("Acacia-Leaving", "true");
+  }
+  response.keep_alive(work.keep_alive && !this->backend.IsLeaving());
+  return response;
+}
+
+net::awaitable<bool> Session::Answer(const WorkRequest& work, FaultKind fault) {
+  if (fault == FaultKind::kSilence) {
+    co_await this->StaySilent();
+    co_return false;
+  }
+  if (fault == FaultKind::kReset) {
+    this->stream.socket().set_option(net::socket_base::linger(true, 0));
+    co_return false;
+  }
+  const bool failed = fault == FaultKind::kError;
+  Response response = this->MakeResponse(work, failed ? 500 : 200);
+  std::string id = work.id;
+  if (fault == FaultKind::kWrong) {
+    id = "another-" + id;
+    response.set("X-Work-Id", id);
+    response.set("Acacia-Request-Id", "another-" + work.request_id);
+  }
+  if (work.head) {
+    response.content_length(work.answer_bytes);
+    co_return co_await this->Write(response);
+  }
+  response.body() = WorkBody(id, work.answer_bytes);
+  if (work.chunked_answer) {
+    response.chunked(true);
+  } else {
+    response.content_length(work.answer_bytes);
+  }
+  if (fault == FaultKind::kTruncate) {
+    std::ostringstream whole;
+    whole << response;
+    const std::string bytes = whole.str();
+    const std::size_t kept = bytes.size() - (work.answer_bytes + 1) / 2;
+    co_await net::async_write(this->stream, net::buffer(bytes.data(), kept),
+                              kAwait);
+    co_return false;
+  }
+  co_return co_await this->Write(response);
+}
+
+net::awaitable<bool> Session::Refuse(Parser& parser, const WorkRequest& work) {
+  Response response = this->MakeResponse(work, 503);
+  response.set("Acacia-Outcome", "not-run");
+  const bool whole = parser.is_done();
+  response.keep_alive(response.keep_alive() && whole);
+  response.prepare_payload();
+  const bool keep = co_await this->Write(response);
+  if (!whole) {
+    co_await this->Linger();
+  }
+  co_return keep;
+}
+
+net::awaitable<bool> Session::Write(Response& response) {
+  const auto [error, written] =
+      co_await http::async_write(this->stream, response, kAwait);
+  co_return !error && response.keep_alive();
+}
+
+net::awaitable<bool> Session::ContinueIfExpected(const Parser& parser) {
+  if (!beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+    co_return true;
+  }
+  http::response<http::empty_body> response(http::status::continue_, 11);
+  const auto [error, written] =
+      co_await http::async_write(this->stream, response, kAwait);
+  co_return !error;
+}
+
+net::awaitable<std::optional<BodyDigest>> Session::ReceiveBody(Parser& parser) {
+  BodyDigest digest;
+  const std::unique_ptr<XXH64_state_t, decltype(&XXH64_freeState)> hash(
+      XXH64_createState(), &XXH64_freeState);
+  XXH64_reset(hash.get(), 0);
+  std::unique_ptr<std::array<char, kBodyBufferBytes>> chunk;
+  while (!parser.is_done()) {
+    if (!chunk) {
+      chunk = std::make_unique<std::array<char, kBodyBufferBytes>>();
+    }
+    parser.get().body().data = chunk->data();
+    parser.get().body().size = chunk->size();
+    const auto [error, read] =
+        co_await http::async_read(this->stream, this->buffer, parser, kAwait);
+    if (error && error != http::error::need_buffer) {
+      co_return std::nullopt;
+    }
+    const std::size_t got = chunk->size() - parser.get().body().size;
+    XXH64_update(hash.get(), chunk->data(), got);
+    digest.bytes += got;
+  }
+  digest.hash = XXH64_digest(hash.get());
+  co_return digest;
+}
+
+net::awaitable<std::optional<std::string>> Session::ReceiveSmallBody(
+    Parser& parser) {
+  std::string body(kMaxControlBytes, '\0');
+  parser.get().body().data = body.data();
+  parser.get().body().size = body.size();
+  if (!parser.is_done()) {
+    const auto [error, read] =
+        co_await http::async_read(this->stream, this->buffer, parser, kAwait);
+    if (error) {
+      co_return std::nullopt;
+    }
+  }
+  body.resize(body.size() - parser.get().body().size);
+  co_return body;
+}
+
+net::awaitable<bool> Session::WaitUnlessClosed(Duration time) {
+  Tcp::socket& socket = this->stream.socket();
+  const TimePoint end = this->Now() + time;
+  if (time > Duration::zero()) {
+    net::steady_timer timer(socket.get_executor(), end);
+    const auto first =
+        co_await (timer.async_wait(kAwait) ||
+                  socket.async_wait(Tcp::socket::wait_read, kAwait));
+    if (first.index() == 0) {
+      co_return true;
+    }
+  }
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(net::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  if (error && error != net::error::would_block) {
+    co_return false;
+  }
+  net::steady_timer rest(socket.get_executor(), end);
+  co_await rest.async_wait(kAwait);
+  co_return true;
+}
+
+net::awaitable<void> Session::StaySilent() {
+  std::array<char, 1024> ignored{};
+  for (;;) {
+    const auto [error, read] =
+        co_await this->stream.async_read_some(net::buffer(ignored), kAwait);
+    if (error) {
+      co_return;
+    }
+  }
+}
+
+net::awaitable<void> Session::Linger() {
+  boost::system::error_code ignored;
+  this->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  this->stream.expires_after(kLingerTimeout);
+  co_await this->StaySilent();
+}
+
+net::awaitable<void> ServeSession(
+    Tcp::socket socket,
+    std::shared_ptr<BackendStandin::State> server) {
+  Session session(std::move(socket), std::move(server));
+  co_await session.Serve();
+}
+
+net::awaitable<void> Accept(std::shared_ptr<BackendStandin::State> state) {
+  while (state->acceptor.is_open()) {
+    auto [error, socket] = co_await state->acceptor.async_accept(kAwait);
+    if (error == net::error::operation_aborted || !state->acceptor.is_open()) {
+      co_return;
+    }
+    if (error) {
+      continue;
+    }
+    auto executor = socket.get_executor();
+    net::co_spawn(executor, ServeSession(std::move(socket), state),
+                  net::detached);
+  }
+}
+
+}  // namespace
+
+BackendStandin::BackendStandin(const net::any_io_executor& executor,
+                               schema::BackendStandinSettingsT settings)
+    : state(std::make_shared<State>(executor, std::move(settings))) {}
+
+BackendStandin::~BackendStandin() {
+  boost::system::error_code ignored;
+  this->state->acceptor.close(ignored);
+}
+
+tl::expected<void, std::string> BackendStandin::Listen() {
+  const std::string& address = this->state->backend.settings.listen;
+  const auto endpoint = ParseSocketAddress(address);
+  if (!endpoint) {
+    return tl::unexpected("\"" + address + "\" is not an address");
+  }
+  const Tcp::endpoint local(endpoint->address, endpoint->port);
+  boost::system::error_code error;
+  Tcp::acceptor& acceptor = this->state->acceptor;
+  if (acceptor.open(local.protocol(), error) ||
+      acceptor.set_option(Tcp::acceptor::reuse_address(true), error) ||
+      acceptor.bind(local, error) ||
+      acceptor.listen(Tcp::acceptor::max_listen_connections, error)) {
+    return tl::unexpected(address + ": " + error.message());
+  }
+  net::co_spawn(acceptor.get_executor(), Accept(this->state), net::detached);
+  return {};
+}
+
+std::uint16_t BackendStandin::Port() const {
+  return this->state->acceptor.local_endpoint().port();
+}
+
+}  // namespace acacia
