--- /dev/null
+++ b/standin/load_plan.h
@@ -0,0 +1,47 @@
+// When an open-loop caller population sends which request: arrivals follow the
+// rate profile whatever the answers do.
+#ifndef STANDIN_LOAD_PLAN_H_
+#define STANDIN_LOAD_PLAN_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "src/clock.h"
+#include "src/generated/settings_generated.h"
+#include "src/random_source.h"
+
+namespace acacia {
+
+struct PlannedRequest {
+  // Since the start of the run.
+  Duration at{};
+  std::size_t load_class = 0;
+  std::string work_id;
+  std::string account;
+};
+
+// Poisson arrivals; the same settings and seed give the same plan.
+class LoadPlan {
+ public:
+  explicit LoadPlan(const schema::LoadSettingsT& settings);
+
+  // Nothing when the run is over.
+  std::optional<PlannedRequest> Next();
+
+ private:
+  double RateAt(Duration at) const;
+  // The next rate point after `at`, or the end of the run.
+  Duration NextPoint(Duration at) const;
+  std::size_t DrawClass();
+
+  const schema::LoadSettingsT& settings;
+  SeededRandom random;
+  Duration at{};
+  std::uint64_t count = 0;
+};
+
+}  // namespace acacia
+
+#endif  // STANDIN_LOAD_PLAN_H_
