List every mistake of a JSON text at once, with its line

The parser of FlatBuffers stops at the first mistake, and the line of an unknown field was found by searching for its name, which gives the first place of that name. Feeding Boost.JSON's event parser line by line gives the line of each value, finds fields that stand twice, and needs no parser of ours. The schema's reflection then checks types, ranges, enum names and required fields; mistaken values are replaced by empty ones so that later checks can go on.

--- a/src/json_schema.cc
+++ b/src/json_schema.cc
@@ -4,9 +4,9 @@
 #include <flatbuffers/reflection.h>
 #include <flatbuffers/util.h>
 
-#include <algorithm>
 #include <boost/json.hpp>
-#include <regex>
+#include <limits>
+#include <utility>
 
 #include "src/check.h"
 
@@ -15,6 +15,8 @@
 
 namespace json = boost::json;
 
+constexpr std::size_t kMaxErrorsPerFile = 1000;
+
 json::parse_options LenientOptions() {
   json::parse_options options;
   options.allow_comments = true;
@@ -22,71 +24,172 @@
   return options;
 }
 
-// Lines are found by searching for the key; a key that stands more than once
-// gives the first line.
-int LineOfKey(const std::string& text, const std::string& key) {
-  const std::size_t at = text.find("\"" + key + "\"");
-  if (at == std::string::npos) {
-    return 0;
+bool IsInteger(reflection::BaseType type) {
+  return type >= reflection::Byte && type <= reflection::ULong;
+}
+
+// The largest value of an unsigned integer type.
+std::uint64_t MaxOf(reflection::BaseType type) {
+  switch (type) {
+    case reflection::UByte:
+      return std::numeric_limits<std::uint8_t>::max();
+    case reflection::UShort:
+      return std::numeric_limits<std::uint16_t>::max();
+    case reflection::UInt:
+      return std::numeric_limits<std::uint32_t>::max();
+    default:
+      return std::numeric_limits<std::uint64_t>::max();
   }
-  return 1 + static_cast<int>(std::count(
-                 text.begin(), text.begin() + static_cast<long>(at), '\n'));
 }
 
-// Collects the fields that the schema does not have, through every nested
-// table.
-class UnknownFieldFinder {
+// Compares a JSON value with a table of the schema, through every nested table.
+// Mistaken values are listed and replaced by empty ones; positions in lists
+// stay.
+class SchemaChecker {
  public:
-  UnknownFieldFinder(const reflection::Schema& schema,
-                     const std::string& file,
-                     const std::string& text)
-      : schema(schema), file(file), text(text) {}
-
-  UserErrors Find(const json::value& value, const reflection::Object& object) {
-    this->Walk(value, object, "");
-    return this->errors;
-  }
+  SchemaChecker(const reflection::Schema& schema,
+                const JsonLines& lines,
+                UserErrors* errors)
+      : schema(schema), lines(lines), errors(errors) {}
 
- private:
-  void Walk(const json::value& value,
-            const reflection::Object& object,
-            const std::string& path) {
+  void CheckTable(json::value& value,
+                  const reflection::Object& object,
+                  const std::string& path) {
     if (!value.is_object()) {
-      return;
+      this->Report(path, "expected an object {...}", "");
+      value = json::object();
     }
-    for (const auto& member : value.get_object()) {
+    json::object& members = value.get_object();
+    std::vector<std::string> unknown;
+    for (auto& member : members) {
       const std::string key(member.key());
-      const std::string field_path = path.empty() ? key : path + "." + key;
-      const reflection::Field* field =
-          object.fields()->LookupByKey(key.c_str());
+      const std::string at = path.empty() ? key : path + "." + key;
+      const auto* field = object.fields()->LookupByKey(key.c_str());
       if (field == nullptr) {
-        this->errors.push_back({this->file, LineOfKey(this->text, key),
-                                field_path, "unknown field",
-                                this->KnownFields(object)});
-        continue;
+        this->Report(at, "unknown field", this->KnownFields(object));
+        unknown.push_back(key);
+      } else {
+        this->CheckValue(member.value(), *field->type(), at);
+      }
+    }
+    for (const std::string& key : unknown) {
+      members.erase(key);
+    }
+    this->CheckRequired(members, object, path);
+  }
+
+ private:
+  void CheckRequired(json::object& members,
+                     const reflection::Object& object,
+                     const std::string& path) {
+    for (const auto* field : *object.fields()) {
+      const std::string name = field->name()->str();
+      if (field->required() && !members.contains(name)) {
+        this->Report(path.empty() ? name : path + "." + name,
+                     "this field is required", "");
+        members[name] = "";
       }
-      this->WalkField(member.value(), *field, field_path);
     }
   }
 
-  void WalkField(const json::value& value,
-                 const reflection::Field& field,
-                 const std::string& path) {
-    const reflection::Type* type = field.type();
-    const bool is_table = type->base_type() == reflection::Obj;
-    const bool is_table_list = type->base_type() == reflection::Vector &&
-                               type->element() == reflection::Obj;
-    if (is_table) {
-      this->Walk(value, *this->schema.objects()->Get(type->index()), path);
-    } else if (is_table_list && value.is_array()) {
-      int i = 0;
-      for (const json::value& item : value.get_array()) {
-        this->Walk(item, *this->schema.objects()->Get(type->index()),
-                   path + "[" + std::to_string(i++) + "]");
+  void CheckValue(json::value& value,
+                  const reflection::Type& type,
+                  const std::string& at) {
+    switch (type.base_type()) {
+      case reflection::Vector:
+        this->CheckList(value, type, at);
+        return;
+      case reflection::Obj:
+        this->CheckTable(value, *this->schema.objects()->Get(type.index()), at);
+        return;
+      default:
+        this->CheckScalar(value, type.base_type(), type.index(), at);
+    }
+  }
+
+  void CheckList(json::value& value,
+                 const reflection::Type& type,
+                 const std::string& at) {
+    if (!value.is_array()) {
+      this->Report(at, "expected a list [...]", "");
+      value = json::array();
+    }
+    std::size_t position = 0;
+    for (json::value& item : value.get_array()) {
+      const std::string item_at = at + "[" + std::to_string(position++) + "]";
+      if (type.element() == reflection::Obj) {
+        this->CheckTable(item, *this->schema.objects()->Get(type.index()),
+                         item_at);
+      } else {
+        this->CheckScalar(item, type.element(), type.index(), item_at);
       }
     }
   }
 
+  void CheckScalar(json::value& value,
+                   reflection::BaseType type,
+                   int enum_index,
+                   const std::string& at) {
+    if (type == reflection::String) {
+      this->Expect(value.is_string(), value, "", at, "expected a \"string\"",
+                   "");
+    } else if (type == reflection::Bool) {
+      this->Expect(value.is_bool(), value, false, at, "expected true or false",
+                   "");
+    } else if (IsInteger(type) && enum_index >= 0) {
+      this->CheckEnum(value, *this->schema.enums()->Get(enum_index), at);
+    } else if (IsInteger(type)) {
+      this->CheckInteger(value, type, at);
+    } else {
+      this->Report(at, "cannot be written in JSON", "");
+    }
+  }
+
+  void CheckEnum(json::value& value,
+                 const reflection::Enum& enumeration,
+                 const std::string& at) {
+    std::string names;
+    bool known = false;
+    for (const auto* name : *enumeration.values()) {
+      known = known || (value.is_string() &&
+                        value.get_string() == name->name()->c_str());
+      names += (names.empty() ? "\"" : ", \"") + name->name()->str() + "\"";
+    }
+    this->Expect(known, value, 0, at, "not one of the known names",
+                 "write one of " + names);
+  }
+
+  void CheckInteger(json::value& value,
+                    reflection::BaseType type,
+                    const std::string& at) {
+    const std::uint64_t max = MaxOf(type);
+    const bool fits = (value.is_int64() && value.get_int64() >= 0 &&
+                       static_cast<std::uint64_t>(value.get_int64()) <= max) ||
+                      (value.is_uint64() && value.get_uint64() <= max);
+    this->Expect(fits, value, 0, at, "expected a whole number",
+                 "from 0 to " + std::to_string(max) + ", without quotes");
+  }
+
+  void Expect(bool holds,
+              json::value& value,
+              const json::value& empty,
+              const std::string& at,
+              const std::string& message,
+              const std::string& hint) {
+    if (!holds) {
+      this->Report(at, message, hint);
+      value = empty;
+    }
+  }
+
+  void Report(const std::string& path,
+              const std::string& message,
+              const std::string& hint) {
+    if (this->errors->size() < kMaxErrorsPerFile) {
+      this->errors->push_back(this->lines.MakeError(path, message, hint));
+    }
+  }
+
   std::string KnownFields(const reflection::Object& object) const {
     std::string known;
     for (const reflection::Field* field : *object.fields()) {
@@ -96,62 +199,62 @@
   }
 
   const reflection::Schema& schema;
-  const std::string& file;
-  const std::string& text;
-  UserErrors errors;
+  const JsonLines& lines;
+  UserErrors* errors;
 };
 
-// FlatBuffers reports "  LINE: COLUMN: error: MESSAGE", sometimes behind a file
-// name.
-UserError FromParserError(const std::string& file, const std::string& error) {
-  static const std::regex pattern(R"((\d+): *(\d+): error: (.*))");
-  std::smatch match;
-  std::string first_line = error.substr(0, error.find(", originally at"));
-  if (std::regex_search(first_line, match, pattern)) {
-    return {file, std::stoi(match[1]), "", match[3], ""};
+// Converts checked JSON into the table's binary form.
+std::vector<std::uint8_t> Convert(const BinarySchema& schema,
+                                  const std::string& table,
+                                  const json::value& value,
+                                  JsonTable* result) {
+  flatbuffers::Parser parser;
+  ACACIA_CHECK(parser.Deserialize(schema.bytes, schema.size))
+      << "table=" << table;
+  ACACIA_CHECK(parser.SetRootType(table.c_str())) << "table=" << table;
+  if (!parser.ParseJson(json::serialize(value).c_str())) {
+    result->errors.push_back(
+        result->lines.MakeError("", "cannot be read: " + parser.error_, ""));
+    return {};
   }
-  return {file, 0, "", first_line, ""};
+  const std::uint8_t* begin = parser.builder_.GetBufferPointer();
+  return {begin, begin + parser.builder_.GetSize()};
 }
 
-UserErrors FindUnknownFields(const BinarySchema& schema,
-                             const std::string& table,
-                             const std::string& file,
-                             const std::string& text) {
-  boost::system::error_code error;
-  const json::value value = json::parse(text, error, {}, LenientOptions());
-  if (error) {
-    return {};  // A syntax error; the FlatBuffers parser reports it with its
-                // line.
+}  // namespace
+
+JsonTable ReadJsonTable(const BinarySchema& schema,
+                        const std::string& table,
+                        const std::string& file,
+                        const std::string& text) {
+  JsonTable result{{}, JsonLines(file, text), {}};
+  result.errors = result.lines.Errors();
+  if (result.lines.HasSyntaxError()) {
+    return result;
   }
+  boost::system::error_code error;
+  json::value value = json::parse(text, error, {}, LenientOptions());
+  ACACIA_CHECK(!error) << "file=" << file;
   const reflection::Schema* reflected = reflection::GetSchema(schema.bytes);
   const reflection::Object* object =
       reflected->objects()->LookupByKey(table.c_str());
   ACACIA_CHECK(object != nullptr) << "table=" << table;
-  return UnknownFieldFinder(*reflected, file, text).Find(value, *object);
+  SchemaChecker(*reflected, result.lines, &result.errors)
+      .CheckTable(value, *object, "");
+  result.bytes = Convert(schema, table, value, &result);
+  return result;
 }
 
-}  // namespace
-
 tl::expected<std::vector<std::uint8_t>, UserErrors> ParseJsonTable(
     const BinarySchema& schema,
     const std::string& table,
     const std::string& file,
     const std::string& text) {
-  UserErrors errors = FindUnknownFields(schema, table, file, text);
-  flatbuffers::IDLOptions options;
-  options.skip_unexpected_fields_in_json = true;
-  flatbuffers::Parser parser(options);
-  ACACIA_CHECK(parser.Deserialize(schema.bytes, schema.size))
-      << "table=" << table;
-  ACACIA_CHECK(parser.SetRootType(table.c_str())) << "table=" << table;
-  if (!parser.ParseJson(text.c_str())) {
-    errors.push_back(FromParserError(file, parser.error_));
+  JsonTable result = ReadJsonTable(schema, table, file, text);
+  if (!result.errors.empty()) {
+    return tl::unexpected(std::move(result.errors));
   }
-  if (!errors.empty()) {
-    return tl::unexpected(errors);
-  }
-  const std::uint8_t* begin = parser.builder_.GetBufferPointer();
-  return std::vector<std::uint8_t>(begin, begin + parser.builder_.GetSize());
+  return std::move(result.bytes);
 }
 
 tl::expected<std::string, UserErrors> ReadTextFile(const std::string& file) {
