--- /dev/null
+++ b/src/acaciactl.h
@@ -0,0 +1,50 @@
+// What acaciactl does, apart from its command line: validate a file set, apply
+// it, and ask an operator listener.
+#ifndef SRC_ACACIACTL_H_
+#define SRC_ACACIACTL_H_
+
+#include <boost/asio/awaitable.hpp>
+#include <iosfwd>
+#include <optional>
+#include <string>
+
+#include "src/config_publisher.h"
+#include "src/platform_client.h"
+
+namespace acacia {
+
+// Exit codes of acaciactl.
+inline constexpr int kCtlAccepted = 0;
+inline constexpr int kCtlRefused = 1;
+inline constexpr int kCtlMistake = 2;
+inline constexpr int kCtlUnknown = 3;
+inline constexpr int kCtlUnavailable = 4;
+
+struct ApplyOptions {
+  std::string folder;
+  std::string platform;
+  // Generated when empty.
+  std::string write_id;
+  std::string writer;
+  std::optional<Generation> based_on;
+};
+
+struct OperatorQuery {
+  std::string address;
+  std::string token;
+  // For example "/status".
+  std::string target;
+};
+
+// Publishes a file set through the platform. `platform` must outlive the call.
+boost::asio::awaitable<PublishOutcome> Publish(PlatformClient& platform,
+                                               PublishRequest request);
+
+// Each prints to `out` and returns an exit code.
+int Validate(const std::string& folder, std::ostream& out, std::ostream& err);
+int Apply(const ApplyOptions& options, std::ostream& out, std::ostream& err);
+int Ask(const OperatorQuery& query, std::ostream& out, std::ostream& err);
+
+}  // namespace acacia
+
+#endif  // SRC_ACACIACTL_H_
--- /dev/null
+++ b/src/config_apply.cc
@@ -0,0 +1,125 @@
+#include <boost/asio.hpp>
+#include <type_traits>
+#include <utility>
+
+#include "src/acaciactl.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+constexpr std::chrono::milliseconds kFirstRetryDelay{50};
+constexpr std::chrono::milliseconds kMaxRetryDelay{2000};
+
+// Carries out a publisher's actions, several at once. Shared by the coroutines
+// of the actions, which may outlive the call when the outcome is known.
+struct Run : std::enable_shared_from_this<Run> {
+  Run(PlatformClient& platform,
+      const PublishRequest& request,
+      const net::any_io_executor& executor)
+      : platform(platform), publisher(request), done(executor) {
+    this->done.expires_at(net::steady_timer::time_point::max());
+  }
+
+  PlatformClient& platform;
+  ConfigPublisher publisher;
+  net::steady_timer done;
+  std::chrono::milliseconds retry_delay = kFirstRetryDelay;
+  std::size_t pending = 0;
+
+  void CarryOut(PublisherActions actions);
+  net::awaitable<void> CarryOutOne(PublisherAction action);
+  template <typename Result>
+  net::awaitable<void> DelayAfter(const Result& result);
+
+  net::awaitable<PublisherActions> Do(ReadRow action);
+  net::awaitable<PublisherActions> Do(WriteRow action);
+  net::awaitable<PublisherActions> Do(ReadObject action);
+  net::awaitable<PublisherActions> Do(WriteObject action);
+};
+
+void Run::CarryOut(PublisherActions actions) {
+  for (PublisherAction& action : actions) {
+    ++this->pending;
+    net::co_spawn(
+        this->done.get_executor(),
+        [](std::shared_ptr<Run> self,
+           PublisherAction action) -> net::awaitable<void> {
+          co_await self->CarryOutOne(std::move(action));
+        }(this->shared_from_this(), std::move(action)),
+        net::detached);
+  }
+}
+
+net::awaitable<void> Run::CarryOutOne(PublisherAction action) {
+  PublisherActions next;
+  if (auto* read_row = std::get_if<ReadRow>(&action)) {
+    next = co_await this->Do(std::move(*read_row));
+  } else if (auto* write_row = std::get_if<WriteRow>(&action)) {
+    next = co_await this->Do(std::move(*write_row));
+  } else if (auto* read_object = std::get_if<ReadObject>(&action)) {
+    next = co_await this->Do(std::move(*read_object));
+  } else if (auto* write_object = std::get_if<WriteObject>(&action)) {
+    next = co_await this->Do(std::move(*write_object));
+  }
+  this->CarryOut(std::move(next));
+  if (--this->pending == 0) {
+    this->done.cancel();
+  }
+}
+
+// Gives an ailing platform time before the next try.
+template <typename Result>
+net::awaitable<void> Run::DelayAfter(const Result& result) {
+  if (result || result.error() == PlatformError::kConflict ||
+      result.error() == PlatformError::kNotFound) {
+    co_return;
+  }
+  net::steady_timer timer(this->done.get_executor());
+  timer.expires_after(this->retry_delay);
+  this->retry_delay = std::min(this->retry_delay * 2, kMaxRetryDelay);
+  co_await timer.async_wait(kAwait);
+}
+
+net::awaitable<PublisherActions> Run::Do(ReadRow action) {
+  const RowResult result = co_await this->platform.ReadRow(action.key);
+  co_await this->DelayAfter(result);
+  co_return this->publisher.OnRowRead(action.operation, result);
+}
+
+net::awaitable<PublisherActions> Run::Do(WriteRow action) {
+  const WriteResult result = co_await this->platform.WriteRow(
+      action.key, action.expected, action.value);
+  co_await this->DelayAfter(result);
+  co_return this->publisher.OnRowWritten(action.operation, result);
+}
+
+net::awaitable<PublisherActions> Run::Do(ReadObject action) {
+  const ObjectResult result = co_await this->platform.ReadObject(action.hash);
+  co_await this->DelayAfter(result);
+  co_return this->publisher.OnObjectRead(action.operation, result);
+}
+
+net::awaitable<PublisherActions> Run::Do(WriteObject action) {
+  const ObjectWriteResult result =
+      co_await this->platform.WriteObject(action.hash, action.body);
+  co_await this->DelayAfter(result);
+  co_return this->publisher.OnObjectWritten(action.operation, result);
+}
+
+}  // namespace
+
+net::awaitable<PublishOutcome> Publish(PlatformClient& platform,
+                                       PublishRequest request) {
+  const auto executor = co_await net::this_coro::executor;
+  const auto run = std::make_shared<Run>(platform, request, executor);
+  run->CarryOut(run->publisher.Start());
+  if (run->pending > 0) {
+    co_await run->done.async_wait(kAwait);
+  }
+  co_return run->publisher.Outcome().value_or(PublishUnknown{});
+}
+
+}  // namespace acacia
