--- a/src/json_lines.cc
+++ b/src/json_lines.cc
@@ -17,12 +17,12 @@
 // line is known at each event. Boost.JSON prescribes the names.
 class LineHandler {
  public:
+  // NOLINTBEGIN(readability-identifier-naming)
   static constexpr std::size_t max_object_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_array_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_key_size = static_cast<std::size_t>(-1);
   static constexpr std::size_t max_string_size = static_cast<std::size_t>(-1);
 
-  // NOLINTBEGIN(readability-identifier-naming)
   bool on_document_begin(ErrorCode& /*error*/) { return true; }
   bool on_document_end(ErrorCode& /*error*/) { return true; }
   bool on_object_begin(ErrorCode& /*error*/) { return this->Open(false); }
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -209,7 +209,11 @@
 net::awaitable<Reply> PlatformClient::State::SendOnce(HttpRequest request,
                                                       TimePoint until) {
   const Duration left = until - this->clock.Now();
-  if (left <= Duration::zero() || !co_await this->TakeTurn()) {
+  if (left <= Duration::zero()) {
+    co_return tl::unexpected(HttpClientError::kNotSent);
+  }
+  const bool has_turn = co_await this->TakeTurn();
+  if (!has_turn) {
     co_return tl::unexpected(HttpClientError::kNotSent);
   }
   Connection connection = this->TakeConnection();
