--- a/standin/platform_standin.cc
+++ b/standin/platform_standin.cc
@@ -127,14 +127,14 @@
   return ++this->used <= limit || limit == 0;
 }
 
-PlatformStandin::PlatformStandin(net::any_io_executor executor,
+PlatformStandin::PlatformStandin(const net::any_io_executor& executor,
                                  const Clock& clock,
                                  Duration list_lag,
                                  std::uint64_t seed)
     : clock(clock),
       random(seed),
       store(list_lag),
-      server(std::move(executor), [this](HttpRequest request) {
+      server(executor, [this](HttpRequest request) {
         return this->Handle(std::move(request));
       }) {}
 
--- a/standin/platform_standin.h
+++ b/standin/platform_standin.h
@@ -46,7 +46,7 @@
 // Runs on one thread. `clock` must outlive it.
 class PlatformStandin {
  public:
-  PlatformStandin(boost::asio::any_io_executor executor,
+  PlatformStandin(const boost::asio::any_io_executor& executor,
                   const Clock& clock,
                   Duration list_lag,
                   std::uint64_t seed);
--- a/standin/platform_standin_main.cc
+++ b/standin/platform_standin_main.cc
@@ -29,7 +29,9 @@
   signals.async_wait(
       [&](const boost::system::error_code&, int) { context.stop(); });
   context.run();
-  LogEvent("platform_standin_stopped");
+  LogEvent("platform_standin_stopped")
+      .With("reads", standin.Counters().reads)
+      .With("writes", standin.Counters().writes);
   return kExitOk;
 }
 
