--- /dev/null
+++ b/src/discovery.h
@@ -0,0 +1,65 @@
+// Reads the platform's lagging instance lists: of each service that names one,
+// and of our own entries. The pace falls with the size of the fleet and the
+// number of lists, so that all instances together stay within kFleetReads.
+#ifndef SRC_DISCOVERY_H_
+#define SRC_DISCOVERY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/agent_actions.h"
+#include "src/clock.h"
+#include "src/ids.h"
+#include "src/platform.h"
+#include "src/random_source.h"
+
+namespace acacia {
+
+// List reads per second of the whole fleet.
+inline constexpr double kFleetReads = 150;
+
+struct ListedServer {
+  ListedInstance listed;
+  // It appeared a short while ago on a list that was known before.
+  TimePoint cold_until;
+};
+
+class Discovery {
+ public:
+  struct List {
+    std::vector<ListedServer> servers;
+    // When the newest answer was asked for; empty before the first.
+    std::optional<TimePoint> asked;
+  };
+
+  Discovery(RandomSource& random, OperationIds& operations);
+
+  void SetNames(const std::vector<std::string>& names, TimePoint now);
+  void OnTick(std::size_t fleet_size, TimePoint now, AgentActions& actions);
+  // Returns the name of the list that was updated; empty when none was.
+  std::string OnInstanceList(OperationId operation,
+                             const InstanceListResult& result,
+                             TimePoint now);
+  const List* Find(const std::string& name) const;
+
+ private:
+  struct Poll {
+    List list;
+    std::optional<OperationId> operation;
+    TimePoint sent;
+    TimePoint next;
+  };
+
+  Duration Jittered(Duration around);
+
+  RandomSource& random;
+  OperationIds& operations;
+  std::map<std::string, Poll> polls;
+};
+
+}  // namespace acacia
+
+#endif  // SRC_DISCOVERY_H_
--- /dev/null
+++ b/src/evidence_pool.cc
@@ -0,0 +1,236 @@
+#include "src/evidence_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+
+namespace acacia {
+namespace {
+
+constexpr Duration kDecayInterval = std::chrono::seconds(1);
+// Halves a window in 10 s.
+constexpr double kDecay = 0.933;
+constexpr Duration kWindowTime = std::chrono::seconds(60);
+constexpr Duration kShareInterval = std::chrono::seconds(1);
+constexpr Duration kShareFresh = std::chrono::seconds(4);
+constexpr Duration kQuestionTime = std::chrono::seconds(20);
+// How long answers to a question may take to come in.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(2500);
+constexpr double kMinPooledBad = 4;
+// An entry that avoids a backend server stands for at least this much.
+constexpr double kAvoidedWeight = 2;
+constexpr std::size_t kMinBadReporters = 2;
+
+bool IsBad(double attempts, double bad, bool avoided) {
+  return avoided || (bad >= 0.5 && 2 * bad >= attempts);
+}
+
+}  // namespace
+
+void EvidencePool::OnReport(
+    const std::vector<std::unique_ptr<schema::BackendEvidenceT>>& evidence,
+    TimePoint now) {
+  for (const auto& item : evidence) {
+    const Key key{ServiceName(item->service), BackendId(item->address)};
+    Window& window = this->windows[key];
+    window.attempts += item->attempts;
+    window.bad += std::min(item->attempts, item->failures + item->slow);
+    window.avoided = item->avoided;
+    window.updated = now;
+  }
+}
+
+void EvidencePool::OnShare(
+    const InstanceId& reporter,
+    const FailureDomain& domain,
+    const std::vector<std::unique_ptr<schema::BackendEvidenceT>>& evidence,
+    TimePoint now) {
+  for (const auto& item : evidence) {
+    if (!item) {
+      continue;
+    }
+    const Key key{ServiceName(item->service), BackendId(item->address)};
+    const Shared share{domain, static_cast<double>(item->attempts),
+                       static_cast<double>(item->failures), item->avoided, now};
+    this->shared[key][reporter] = share;
+    if (IsBad(share.attempts, share.bad, share.avoided)) {
+      const bool added = this->questions.emplace(key, now).second;
+      this->new_question |= added;
+    }
+  }
+}
+
+void EvidencePool::OnQuestion(const schema::EvidenceQuestionT& question,
+                              TimePoint now) {
+  const TimePoint asked = now - std::chrono::milliseconds(question.age_ms);
+  if (now - asked >= kQuestionTime) {
+    return;
+  }
+  const Key key{ServiceName(question.service), BackendId(question.address)};
+  const bool added = this->questions.emplace(key, asked).second;
+  this->new_question |= added;
+}
+
+void EvidencePool::OnTick(TimePoint now) {
+  if (now < this->next_decay) {
+    return;
+  }
+  this->next_decay = now + kDecayInterval;
+  for (auto& [key, window] : this->windows) {
+    window.attempts *= kDecay;
+    window.bad *= kDecay;
+  }
+  std::erase_if(this->windows, [&](const auto& entry) {
+    return now - entry.second.updated > kWindowTime;
+  });
+  std::erase_if(this->questions, [&](const auto& entry) {
+    return now - entry.second >= kQuestionTime;
+  });
+  for (auto& [key, shares] : this->shared) {
+    std::erase_if(shares, [&](const auto& entry) {
+      return now - entry.second.at > kShareFresh;
+    });
+  }
+  std::erase_if(this->shared,
+                [](const auto& entry) { return entry.second.empty(); });
+}
+
+std::map<ServiceName, schema::EvidenceShareT> EvidencePool::TakeShares(
+    TimePoint now) {
+  std::map<ServiceName, schema::EvidenceShareT> shares;
+  if (now < this->next_share) {
+    return shares;
+  }
+  this->next_share = now + kShareInterval;
+  for (const auto& [key, window] : this->windows) {
+    const bool bad = IsBad(window.attempts, window.bad, window.avoided);
+    const bool asked = this->questions.count(key) != 0;
+    const auto attempts = static_cast<std::uint32_t>(
+        std::ceil(std::max(0.0, window.attempts - 0.2)));
+    if (!bad && (!asked || attempts == 0)) {
+      continue;
+    }
+    auto item = std::make_unique<schema::BackendEvidenceT>();
+    item->service = key.first.Value();
+    item->address = key.second.Value();
+    item->attempts = attempts;
+    item->failures = static_cast<std::uint32_t>(std::lround(window.bad));
+    item->avoided = window.avoided;
+    shares[key.first].evidence.push_back(std::move(item));
+  }
+  return shares;
+}
+
+std::vector<schema::EvidenceQuestionT> EvidencePool::Questions(
+    std::size_t limit,
+    TimePoint now) const {
+  std::vector<std::pair<TimePoint, const Key*>> youngest;
+  for (const auto& [key, asked] : this->questions) {
+    youngest.emplace_back(asked, &key);
+  }
+  std::sort(youngest.begin(), youngest.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<schema::EvidenceQuestionT> result;
+  for (std::size_t i = 0; i < std::min(limit, youngest.size()); ++i) {
+    schema::EvidenceQuestionT question;
+    question.service = youngest[i].second->first.Value();
+    question.address = youngest[i].second->second.Value();
+    question.age_ms = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now -
+                                                              youngest[i].first)
+            .count());
+    result.push_back(std::move(question));
+  }
+  return result;
+}
+
+bool EvidencePool::TakeNewQuestion() {
+  return std::exchange(this->new_question, false);
+}
+
+EvidencePool::Totals EvidencePool::Sum(const Key& key, TimePoint now) const {
+  Totals totals;
+  const auto shares = this->shared.find(key);
+  if (shares == this->shared.end()) {
+    return totals;
+  }
+  for (const auto& [reporter, share] : shares->second) {
+    if (now - share.at > kShareFresh) {
+      continue;
+    }
+    ++totals.reporters;
+    double attempts = share.attempts;
+    double bad = share.bad;
+    if (share.avoided) {
+      attempts = std::max(attempts, kAvoidedWeight);
+      bad = std::max(bad, kAvoidedWeight);
+    }
+    totals.attempts += attempts;
+    totals.bad += bad;
+    if (IsBad(attempts, bad, share.avoided)) {
+      ++totals.bad_reporters;
+      totals.bad_domains.insert(share.domain);
+    }
+  }
+  return totals;
+}
+
+bool EvidencePool::IsSick(const Key& key,
+                          std::size_t domains,
+                          TimePoint now) const {
+  const auto question = this->questions.find(key);
+  if (question == this->questions.end() ||
+      now - question->second < kAnswerTime) {
+    return false;
+  }
+  const Totals totals = this->Sum(key, now);
+  return totals.bad_reporters >= kMinBadReporters &&
+         2 * totals.bad_reporters > totals.reporters &&
+         totals.bad_domains.size() >= std::min<std::size_t>(2, domains) &&
+         totals.bad >= kMinPooledBad && 2 * totals.bad >= totals.attempts;
+}
+
+std::set<BackendId> EvidencePool::Sick(const ServiceName& service,
+                                       std::size_t servers,
+                                       std::size_t domains,
+                                       TimePoint now) const {
+  std::set<BackendId> sick;
+  for (const auto& [key, shares] : this->shared) {
+    if (key.first == service && this->IsSick(key, domains, now)) {
+      sick.insert(key.second);
+    }
+  }
+  // When most of a service looks sick, the service or its demand is at fault.
+  if (2 * sick.size() > servers) {
+    return {};
+  }
+  return sick;
+}
+
+std::vector<std::string> EvidencePool::Explain(const ServiceName& service,
+                                               TimePoint now) const {
+  std::vector<std::string> lines;
+  for (const auto& [key, window] : this->windows) {
+    if (key.first == service &&
+        IsBad(window.attempts, window.bad, window.avoided)) {
+      std::ostringstream line;
+      line << key.second << " looks sick from here: " << window.bad << " of "
+           << window.attempts << " recent attempts"
+           << (window.avoided ? ", avoided" : "");
+      lines.push_back(line.str());
+    }
+  }
+  for (const auto& [key, shares] : this->shared) {
+    if (key.first == service) {
+      const Totals totals = this->Sum(key, now);
+      std::ostringstream line;
+      line << key.second << " pooled: bad at " << totals.bad_reporters << " of "
+           << totals.reporters << " entries in " << totals.bad_domains.size()
+           << " failure domains";
+      lines.push_back(line.str());
+    }
+  }
+  return lines;
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/floor.cc
@@ -0,0 +1,36 @@
+#include "src/floor.h"
+
+namespace acacia {
+
+bool KeepsFloor(const ServiceCapacity& capacity,
+                const std::set<BackendId>& ejected) {
+  std::uint64_t total = 0;
+  std::uint64_t remaining = 0;
+  for (const auto& [id, server] : capacity.servers) {
+    total += server.slots;
+    if (server.usable && ejected.count(id) == 0) {
+      remaining += server.slots;
+    }
+  }
+  return remaining * 100 >= total * capacity.floor_percent;
+}
+
+std::vector<BackendId> WithinFloor(const ServiceCapacity& capacity,
+                                   const std::vector<BackendId>& ejected) {
+  std::vector<BackendId> kept;
+  std::set<BackendId> out;
+  for (const BackendId& id : ejected) {
+    if (capacity.servers.count(id) == 0) {
+      continue;
+    }
+    out.insert(id);
+    if (KeepsFloor(capacity, out)) {
+      kept.push_back(id);
+    } else {
+      out.erase(id);
+    }
+  }
+  return kept;
+}
+
+}  // namespace acacia
