Test the coordination state machines, and forget evidence once ejected

Tests of membership, ejection, leaving, leases, key claims and stop plans over one fake platform and fake links. One fault found: when probation ended, the evidence from before the ejection was still in the windows and ejected the backend server again within a second, without one new attempt. Evidence of an ejected backend server is now dropped, and an entry's avoidance counts only while it rests on recent attempts. The test of probation saw 3 changes in 150 s where 4 were due, and passes now.

--- a/src/agent_state.cc
+++ b/src/agent_state.cc
@@ -254,6 +254,9 @@
     }
   }
   for (const auto& [service, deciders] : this->proposers) {
+    for (const BackendId& ejected : this->ejection.Applied(service, now)) {
+      this->evidence.Forget(service, ejected);
+    }
     const bool decides = std::find(deciders.begin(), deciders.end(),
                                    this->identity.instance) != deciders.end();
     if (decides) {
--- a/src/evidence_pool.cc
+++ b/src/evidence_pool.cc
@@ -19,10 +19,13 @@
 constexpr double kMinPooledBad = 4;
 // An entry that avoids a backend server stands for at least this much.
 constexpr double kAvoidedWeight = 2;
+constexpr double kMinAvoidedBad = 0.1;
 constexpr std::size_t kMinBadReporters = 2;
 
+// An entry's avoidance counts only while it rests on recent attempts.
 bool IsBad(double attempts, double bad, bool avoided) {
-  return avoided || (bad >= 0.5 && 2 * bad >= attempts);
+  return (avoided && bad >= kMinAvoidedBad) ||
+         (bad >= 0.5 && 2 * bad >= attempts);
 }
 
 }  // namespace
@@ -53,13 +56,21 @@
     const Shared share{domain, static_cast<double>(item->attempts),
                        static_cast<double>(item->failures), item->avoided, now};
     this->shared[key][reporter] = share;
-    if (IsBad(share.attempts, share.bad, share.avoided)) {
+    if (share.avoided || IsBad(share.attempts, share.bad, false)) {
       const bool added = this->questions.emplace(key, now).second;
       this->new_question |= added;
     }
   }
 }
 
+void EvidencePool::Forget(const ServiceName& service,
+                          const BackendId& backend) {
+  const Key key{service, backend};
+  this->windows.erase(key);
+  this->shared.erase(key);
+  this->questions.erase(key);
+}
+
 void EvidencePool::OnQuestion(const schema::EvidenceQuestionT& question,
                               TimePoint now) {
   const TimePoint asked = now - std::chrono::milliseconds(question.age_ms);
@@ -115,7 +126,7 @@
     item->address = key.second.Value();
     item->attempts = attempts;
     item->failures = static_cast<std::uint32_t>(std::lround(window.bad));
-    item->avoided = window.avoided;
+    item->avoided = window.avoided && bad;
     shares[key.first].evidence.push_back(std::move(item));
   }
   return shares;
--- a/src/evidence_pool.h
+++ b/src/evidence_pool.h
@@ -35,6 +35,9 @@
       const FailureDomain& domain,
       const std::vector<std::unique_ptr<schema::BackendEvidenceT>>& evidence,
       TimePoint now);
+  // What was seen before the fleet ejected the backend server says nothing
+  // about it when it returns.
+  void Forget(const ServiceName& service, const BackendId& backend);
   void OnQuestion(const schema::EvidenceQuestionT& question, TimePoint now);
 
   // Ages the windows and drops what is old.
--- a/test/coord_fakes.h
+++ b/test/coord_fakes.h
@@ -147,6 +147,7 @@
   FakePlatform platform;
   ManualClock clock;
   std::map<std::string, FakeNode> nodes;
+  std::map<std::string, std::string> domains;
   // Pairs (from, to) whose messages are lost.
   std::set<std::pair<PeerAddress, PeerAddress>> cuts;
   std::uint64_t peer_messages = 0;
@@ -158,6 +159,7 @@
   FakeNode& Start(const std::string& name, const std::string& domain = "a") {
     FakeNode& node = this->nodes[name];
     node = FakeNode();
+    this->domains[name] = domain;
     node.address = AddressOf(name);
     AgentIdentity identity;
     identity.instance = InstanceId(name);
@@ -183,6 +185,18 @@
   static PeerAddress AddressOf(const std::string& name) {
     return PeerAddress("peer-" + name);
   }
+  // What the entry may treat as ejected of the only service now.
+  std::set<std::string> Ejected(const std::string& name) const {
+    const FakeNode& node = this->nodes.at(name);
+    const bool told = node.fleet && !node.fleet->services.empty();
+    if (!told ||
+        this->clock.Now() - node.fleet_at >
+            std::chrono::milliseconds(node.fleet->ejections_valid_ms)) {
+      return {};
+    }
+    const auto& ejected = node.fleet->services[0]->ejected;
+    return {ejected.begin(), ejected.end()};
+  }
   // Advances time; each agent ticks at its own phase.
   void Run(Duration time) {
     const Duration step = std::chrono::milliseconds(20);
