Avoid sick backend servers by local evidence; hedge and retry under a budget

Cause: nothing told a sick backend server from a healthy one. Change: a cumulative sum over failures and slow answers per backend server, against what is usual for the others; avoidance only while the others do well at the same time and within the floor; a trickle, a ramp back, longer after each relapse; slow start; overdue attempts count before they end and are hedged.

--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -14,6 +14,7 @@
 // A backend server's own word that it is leaving stands this long without the
 // fleet confirming it.
 constexpr Duration kUnconfirmedLeaving = std::chrono::minutes(10);
+constexpr Duration kSpillPause = std::chrono::milliseconds(20);
 constexpr int kSampledOthers = 8;
 
 std::size_t IndexOf(WorkClass work_class) {
@@ -39,6 +40,10 @@
   return this->in_flight[0] + this->in_flight[1];
 }
 
+double PooledBackend::Weight(TimePoint now) const {
+  return this->health.Weight(now) * this->slow_start.Weight(now);
+}
+
 bool PooledBackend::IsInService() const {
   return this->in_view && !this->ejected && !this->leaving &&
          !this->said_leaving;
@@ -60,7 +65,8 @@
     this->ApplyOne(server, view, now);
   }
   this->DropGone();
-  this->AssignRoles();
+  this->AssignRoles(now);
+  this->has_view = true;
 }
 
 void BackendPool::ApplyOne(const BackendServer& server,
@@ -78,7 +84,8 @@
   backend.server.slots = std::max(server.slots, 1U);
   backend.in_view = true;
   backend.ejected = view.ejected.contains(server.id);
-  backend.cold = view.cold.contains(server.id);
+  backend.slow_start.OnView(view.cold.contains(server.id), !this->has_view,
+                            now);
   backend.leaving = view.leaving.contains(server.id);
   backend.leaving_confirmed = backend.leaving_confirmed || backend.leaving;
   const bool over = backend.leaving_confirmed && !backend.leaving;
@@ -97,19 +104,21 @@
   });
 }
 
-void BackendPool::AssignRoles() {
+void BackendPool::AssignRoles(TimePoint now) {
   std::vector<PooledBackend*> serving;
   std::vector<BackendServer> servers;
-  std::vector<BackendId> ids;
+  std::vector<JudgedBackend> judged;
   for (PooledBackend* backend : this->listed) {
     backend->home = false;
-    backend->long_host = false;
-    if (backend->IsInService()) {
+    const bool in_service = backend->IsInService();
+    if (in_service) {
       serving.push_back(backend);
       servers.push_back(backend->server);
-      ids.push_back(backend->server.id);
     }
+    judged.push_back({&backend->health, backend->server.slots,
+                      in_service && !backend->slow_start.IsCold()});
   }
+  this->health.SetBackends(std::move(judged), this->policy.floor_percent, now);
   this->homes.clear();
   const HomeAssignment assignment =
       AssignHomes(this->service, this->self, this->entries, servers);
@@ -117,19 +126,34 @@
     serving[i]->home = true;
     this->homes.push_back(serving[i]);
   }
-  for (const std::size_t i :
-       LongHosts(this->service, ids, this->policy.long_slots_percent)) {
-    serving[i]->long_host = true;
-  }
   for (PooledBackend* backend : serving) {
     const std::uint32_t share =
         DivideUp(backend->server.slots,
                  static_cast<std::uint32_t>(assignment.entries_per_home));
     backend->limit.Configure(backend->server.slots, backend->home ? share : 0);
   }
+  this->AssignLongHosts();
 }
 
-bool BackendPool::HasRoom(const PooledBackend& backend,
+// Long work moves on from an avoided backend server, so that its share of the
+// service stays the same.
+void BackendPool::AssignLongHosts() {
+  std::vector<PooledBackend*> usable;
+  std::vector<BackendId> ids;
+  for (PooledBackend* backend : this->listed) {
+    backend->long_host = false;
+    if (backend->IsInService() && !backend->health.IsAvoided()) {
+      usable.push_back(backend);
+      ids.push_back(backend->server.id);
+    }
+  }
+  for (const std::size_t i :
+       LongHosts(this->service, ids, this->policy.long_slots_percent)) {
+    usable[i]->long_host = true;
+  }
+}
+
+bool BackendPool::HasSlot(const PooledBackend& backend,
                           const PickRequest& request,
                           TimePoint now) const {
   if (!backend.IsInService() ||
@@ -145,16 +169,73 @@
              LongSlots(backend.server.slots, this->policy.long_slots_percent);
 }
 
+// One that returns or warms up has room for its part of its slots only.
+bool BackendPool::HasRoom(const PooledBackend& backend,
+                          const PickRequest& request,
+                          TimePoint now) const {
+  if (backend.health.IsAvoided() || !this->HasSlot(backend, request, now)) {
+    return false;
+  }
+  const double weight = backend.Weight(now);
+  return weight >= 1 || backend.InFlight() == 0 ||
+         backend.InFlight() + 1 <= backend.server.slots * weight;
+}
+
 PooledBackend* BackendPool::Pick(const PickRequest& request, TimePoint now) {
+  if (PooledBackend* trickle = this->PickTrickle(request, now)) {
+    return trickle;
+  }
   PooledBackend* home = this->PickHome(request, now);
-  return home != nullptr ? home : this->PickOther(request, now);
+  const bool spill = now >= this->spill_paused_until || this->homes.empty();
+  return home != nullptr || !spill ? home : this->PickOther(request, now);
+}
+
+// The occasional request that shows whether an avoided backend server is well
+// again: one that may be tried elsewhere.
+PooledBackend* BackendPool::PickTrickle(const PickRequest& request,
+                                        TimePoint now) {
+  if (!request.idempotent || request.work_class != WorkClass::kShort ||
+      !request.excluded.empty()) {
+    return nullptr;
+  }
+  for (PooledBackend* backend : this->listed) {
+    if (backend->health.IsTrickleDue(now) &&
+        this->HasSlot(*backend, request, now)) {
+      return backend;
+    }
+  }
+  return nullptr;
+}
+
+bool BackendPool::HasAnyUnavoided() const {
+  return std::any_of(this->listed.begin(), this->listed.end(),
+                     [](const PooledBackend* backend) {
+                       return backend->IsInService() &&
+                              !backend->health.IsAvoided();
+                     });
+}
+
+// When every backend server in service is avoided, all are used.
+PooledBackend* BackendPool::PickAvoided(const PickRequest& request,
+                                        TimePoint now) {
+  if (this->HasAnyUnavoided()) {
+    return nullptr;
+  }
+  PooledBackend* best = nullptr;
+  for (PooledBackend* backend : this->listed) {
+    if (this->HasSlot(*backend, request, now) &&
+        (best == nullptr || LoadOf(*backend) < LoadOf(*best))) {
+      best = backend;
+    }
+  }
+  return best;
 }
 
 PooledBackend* BackendPool::PickHome(const PickRequest& request,
                                      TimePoint now) {
   PooledBackend* best = nullptr;
   for (PooledBackend* home : this->homes) {
-    if (this->HasRoom(*home, request, now) &&
+    if (this->HasRoom(*home, request, now) && this->TakesTurn(*home, now) &&
         (best == nullptr || LoadOf(*home) < LoadOf(*best))) {
       best = home;
     }
@@ -171,7 +252,8 @@
   for (int i = 0; i < kSampledOthers; ++i) {
     PooledBackend* candidate =
         this->listed[this->random.Below(this->listed.size())];
-    if (candidate == first || !this->HasRoom(*candidate, request, now)) {
+    if (candidate == first || !this->HasRoom(*candidate, request, now) ||
+        !this->TakesTurn(*candidate, now)) {
       continue;
     }
     if (first != nullptr) {
@@ -189,20 +271,29 @@
       return candidate;
     }
   }
-  return nullptr;
+  return this->PickAvoided(request, now);
+}
+
+// Chance decides whether one that returns or warms up takes this request.
+bool BackendPool::TakesTurn(const PooledBackend& backend, TimePoint now) {
+  const double weight = backend.Weight(now);
+  return weight >= 1 || this->random.Fraction() < weight;
 }
 
 bool BackendPool::HasChoice(const std::vector<BackendId>& excluded) const {
+  const bool avoided_too = !this->HasAnyUnavoided();
   return std::any_of(this->listed.begin(), this->listed.end(),
-                     [&excluded](const PooledBackend* backend) {
+                     [&excluded, avoided_too](const PooledBackend* backend) {
                        return backend->IsInService() &&
+                              (avoided_too || !backend->health.IsAvoided()) &&
                               !Contains(excluded, backend->server.id);
                      });
 }
 
 void BackendPool::OnStart(PooledBackend& backend,
                           WorkClass work_class,
-                          TimePoint /*now*/) {
+                          TimePoint now) {
+  backend.health.OnStart(now);
   ++backend.in_flight[IndexOf(work_class)];
   ++backend.counts.attempts;
 }
@@ -214,16 +305,92 @@
   }
 }
 
+void BackendPool::PauseSpill(TimePoint now) {
+  const double jitter = 0.5 + this->random.Fraction();
+  this->spill_paused_until =
+      now + std::chrono::duration_cast<Duration>(kSpillPause * jitter);
+}
+
 void BackendPool::OnLeavingSeen(PooledBackend& backend, TimePoint now) {
   backend.said_leaving_at = now;
   if (!backend.said_leaving) {
     backend.said_leaving = true;
-    this->AssignRoles();
+    this->AssignRoles(now);
+  }
+}
+
+void BackendPool::OnOutcome(PooledBackend& backend,
+                            const AttemptOutcome& attempt,
+                            TimePoint now) {
+  const Duration latency = now - attempt.started;
+  AttemptEvidence evidence;
+  evidence.started = attempt.started;
+  switch (attempt.result) {
+    case AttemptResult::kRefused:
+      ++backend.counts.refused;
+      backend.limit.OnRefused(backend.InFlight() - 1, now, this->random);
+      return;
+    case AttemptResult::kCancelled:
+      return;
+    case AttemptResult::kSuccess: {
+      backend.limit.OnAnswer(backend.InFlight(), now);
+      const std::optional<Duration> slow = this->SlowAfter(attempt.work_class);
+      this->health.AddLatency(backend.health, attempt.work_class, latency, now);
+      if (attempt.was_overdue) {
+        return;
+      }
+      evidence.slow = slow && latency > *slow;
+      break;
+    }
+    case AttemptResult::kTruncated:
+    case AttemptResult::kMismatched:
+      evidence.corrupt = true;
+      evidence.failed = true;
+      break;
+    default:
+      evidence.failed = true;
   }
+  this->AddEvidence(backend, evidence, now);
+}
+
+void BackendPool::OnOverdue(PooledBackend& backend,
+                            TimePoint started,
+                            TimePoint now) {
+  AttemptEvidence evidence;
+  evidence.started = started;
+  evidence.slow = true;
+  this->AddEvidence(backend, evidence, now);
+}
+
+void BackendPool::AddEvidence(PooledBackend& backend,
+                              const AttemptEvidence& evidence,
+                              TimePoint now) {
+  // While it warms up it may be slow.
+  if (evidence.slow && backend.slow_start.Weight(now) < 1) {
+    return;
+  }
+  backend.counts.failures += evidence.failed ? 1 : 0;
+  backend.counts.slow += evidence.slow ? 1 : 0;
+  const bool was_avoided = backend.health.IsAvoided();
+  this->health.Add(backend.health, evidence, now);
+  if (backend.health.IsAvoided() != was_avoided) {
+    this->AssignLongHosts();
+  }
+}
+
+std::optional<Duration> BackendPool::SlowAfter(WorkClass work_class) const {
+  return this->health.SlowAfter(work_class);
+}
+
+Duration BackendPool::MedianLatency(WorkClass work_class) const {
+  return this->health.MedianLatency(work_class);
 }
 
 std::optional<TimePoint> BackendPool::NextOpening(TimePoint now) const {
   std::optional<TimePoint> next;
+  if (this->spill_paused_until > now) {
+    next = this->spill_paused_until;
+  }
   for (const PooledBackend* backend : this->listed) {
     const TimePoint at = backend->limit.ClosedUntil();
     if (backend->IsInService() && at > now && (!next || at < *next)) {
@@ -244,33 +411,62 @@
     item.failures = backend->counts.failures;
     item.slow = backend->counts.slow;
     item.refused = backend->counts.refused;
+    item.median_latency_us = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(
+            backend->health.latencies[IndexOf(WorkClass::kShort)].Median())
+            .count());
+    item.avoided = backend->health.IsAvoided();
     item.leaving = backend->said_leaving;
     item.in_flight = backend->InFlight();
     backend->counts = {};
     if (item.attempts + item.failures + item.refused + item.in_flight > 0 ||
-        item.leaving) {
+        item.leaving || item.avoided) {
       evidence.push_back(std::move(item));
     }
   }
   return evidence;
 }
 
+std::string BackendPool::Describe(const PooledBackend& backend,
+                                  TimePoint now) const {
+  if (backend.ejected) {
+    return "ejected by the fleet";
+  }
+  if (backend.leaving || backend.said_leaving) {
+    return backend.leaving ? "leaving" : "leaving, by its own word";
+  }
+  std::ostringstream text;
+  switch (backend.health.State(now)) {
+    case BackendHealth::Condition::kAvoided:
+      text << "avoided for " << backend.health.Reason() << ", relapses "
+           << backend.health.Relapses();
+      break;
+    case BackendHealth::Condition::kReturning:
+      text << "returning at weight " << backend.health.Weight(now);
+      break;
+    case BackendHealth::Condition::kHealthy:
+      text << (backend.slow_start.Weight(now) < 1 ? "warming up"
+                                                  : "in service");
+  }
+  if (backend.limit.ClosedUntil() > now) {
+    text << ", refused work just now";
+  }
+  return text.str();
+}
+
 std::vector<std::string> BackendPool::Explain(TimePoint now) const {
   std::vector<std::string> lines;
   for (const PooledBackend* backend : this->listed) {
+    const LatencyWindow& window =
+        backend->health.latencies[IndexOf(WorkClass::kShort)];
+    const auto median =
+        std::chrono::duration_cast<std::chrono::milliseconds>(window.Median());
     std::ostringstream line;
-    line << backend->server.id.Value() << " ";
-    if (backend->ejected) {
-      line << "ejected by the fleet";
-    } else if (backend->leaving || backend->said_leaving) {
-      line << "leaving";
-    } else if (backend->limit.ClosedUntil() > now) {
-      line << "in service, refused work just now";
-    } else {
-      line << "in service";
-    }
-    line << "; in flight " << backend->InFlight() << " of limit "
+    line << backend->server.id.Value() << " " << this->Describe(*backend, now)
+         << "; in flight " << backend->InFlight() << " of limit "
          << backend->limit.Limit() << ", slots " << backend->server.slots
+         << ", median latency " << median.count() << " ms, bad outcomes "
+         << static_cast<int>(100 * backend->health.Badness()) << "%"
          << (backend->home ? ", home" : "")
          << (backend->long_host ? ", takes long work" : "");
     lines.push_back(line.str());
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -1,7 +1,8 @@
 // What one entry knows of a service's backend servers, and the choice among
 // them: home backend servers first, then the less loaded of two others. It
 // joins the small modules that each answer one question about a backend server
-// (concurrency_limit.h, work_split.h, home_assignment.h).
+// (concurrency_limit.h, service_health.h, slow_start.h, work_split.h,
+// home_assignment.h).
 //
 // Not thread-safe; part of the dispatcher.
 #ifndef SRC_BACKEND_POOL_H_
@@ -20,6 +21,8 @@
 #include "src/dispatcher.h"
 #include "src/ids.h"
 #include "src/random_source.h"
+#include "src/service_health.h"
+#include "src/slow_start.h"
 
 namespace acacia {
 
@@ -41,15 +44,27 @@
   // The view has confirmed that it is leaving.
   bool leaving_confirmed = false;
   TimePoint said_leaving_at{};
-  bool cold = false;
   bool home = false;
   bool long_host = false;
   std::array<std::uint32_t, kWorkClassCount> in_flight{};
   ConcurrencyLimit limit;
+  SlowStart slow_start;
+  BackendHealth health;
   EvidenceCounts counts;
 
   std::uint32_t InFlight() const;
   bool IsInService() const;
+  // Share of its usual requests that it should get now.
+  double Weight(TimePoint now) const;
+};
+
+// How an attempt went, as far as its backend server is concerned.
+struct AttemptOutcome {
+  WorkClass work_class = WorkClass::kShort;
+  AttemptResult result = AttemptResult::kSuccess;
+  TimePoint started;
+  // It was reported as overdue before.
+  bool was_overdue = false;
 };
 
 struct PickRequest {
@@ -73,6 +88,15 @@
   void OnStart(PooledBackend& backend, WorkClass work_class, TimePoint now);
   // Frees the slot; the reference is invalid afterwards.
   void OnRelease(PooledBackend& backend, WorkClass work_class);
+  // The service is full: only home backend servers get work for a moment.
+  void PauseSpill(TimePoint now);
+  void OnOutcome(PooledBackend& backend,
+                 const AttemptOutcome& outcome,
+                 TimePoint now);
+  // An attempt has taken longer than SlowAfter and still runs.
+  void OnOverdue(PooledBackend& backend, TimePoint started, TimePoint now);
+  std::optional<Duration> SlowAfter(WorkClass work_class) const;
+  Duration MedianLatency(WorkClass work_class) const;
   void OnLeavingSeen(PooledBackend& backend, TimePoint now);
 
   // When a backend server that is closed for the moment opens again.
@@ -82,8 +106,16 @@
   std::vector<std::string> Explain(TimePoint now) const;
 
  private:
+  PooledBackend* PickTrickle(const PickRequest& request, TimePoint now);
+  PooledBackend* PickAvoided(const PickRequest& request, TimePoint now);
+  bool TakesTurn(const PooledBackend& backend, TimePoint now);
   PooledBackend* PickHome(const PickRequest& request, TimePoint now);
   PooledBackend* PickOther(const PickRequest& request, TimePoint now);
+  bool HasAnyUnavoided() const;
+  // Apart from health.
+  bool HasSlot(const PooledBackend& backend,
+               const PickRequest& request,
+               TimePoint now) const;
   bool HasRoom(const PooledBackend& backend,
                const PickRequest& request,
                TimePoint now) const;
@@ -92,17 +124,25 @@
                 TimePoint now);
   void DropGone();
   // Chooses homes and the backend servers that take long work.
-  void AssignRoles();
+  void AssignRoles(TimePoint now);
+  void AssignLongHosts();
+  void AddEvidence(PooledBackend& backend,
+                   const AttemptEvidence& evidence,
+                   TimePoint now);
+  std::string Describe(const PooledBackend& backend, TimePoint now) const;
 
   ServiceName service;
   InstanceId self;
   RandomSource& random;
   ServicePolicy policy;
   std::vector<InstanceId> entries;
+  ServiceHealth health;
+  bool has_view = false;
   std::unordered_map<BackendId, std::unique_ptr<PooledBackend>> backends;
   // Those in the view.
   std::vector<PooledBackend*> listed;
   std::vector<PooledBackend*> homes;
+  TimePoint spill_paused_until{};
 };
 
 }  // namespace acacia
--- a/src/concurrency_limit.cc
+++ b/src/concurrency_limit.cc
@@ -14,6 +14,8 @@
 // Added to the limit by an answer while the limit is used up.
 constexpr double kIncreaseWithinShare = 1.0;
 constexpr double kIncreaseBeyondShare = 0.25;
+constexpr double kIncreaseAfterRefusal = 0.05;
+constexpr Duration kRefusalRemembered = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -31,18 +33,26 @@
   return in_flight + 1 <= this->limit && now >= this->closed_until;
 }
 
-void ConcurrencyLimit::OnAnswer(std::uint32_t in_flight) {
+void ConcurrencyLimit::OnAnswer(std::uint32_t in_flight, TimePoint now) {
   this->refusals_in_a_row = 0;
   if (in_flight + 1 > this->limit) {
-    const double step =
-        this->limit < this->share ? kIncreaseWithinShare : kIncreaseBeyondShare;
-    this->limit = std::min<double>(this->limit + step, this->slots);
+    this->limit =
+        std::min<double>(this->limit + this->Increase(now), this->slots);
   }
 }
 
+double ConcurrencyLimit::Increase(TimePoint now) const {
+  if (this->limit < this->share) {
+    return kIncreaseWithinShare;
+  }
+  return now - this->last_refusal < kRefusalRemembered ? kIncreaseAfterRefusal
+                                                       : kIncreaseBeyondShare;
+}
+
 void ConcurrencyLimit::OnRefused(std::uint32_t in_flight,
                                  TimePoint now,
                                  RandomSource& random) {
+  this->last_refusal = now;
   this->limit = std::max(1.0, std::min<double>(this->limit, in_flight));
   const Duration longest = this->share > 0 ? kLongestHomePause : kLongestPause;
   const Duration pause =
--- a/src/concurrency_limit.h
+++ b/src/concurrency_limit.h
@@ -23,7 +23,7 @@
   bool Allows(std::uint32_t in_flight, TimePoint now) const;
 
   // `in_flight` counts the request that was answered.
-  void OnAnswer(std::uint32_t in_flight);
+  void OnAnswer(std::uint32_t in_flight, TimePoint now);
   // `in_flight` leaves out the request that was refused.
   void OnRefused(std::uint32_t in_flight, TimePoint now, RandomSource& random);
 
@@ -32,11 +32,14 @@
   double Limit() const { return this->limit; }
 
  private:
+  double Increase(TimePoint now) const;
+
   double limit = 1;
   std::uint32_t slots = 1;
   std::uint32_t share = 0;
   std::uint32_t refusals_in_a_row = 0;
   TimePoint closed_until{};
+  TimePoint last_refusal{};
 };
 
 }  // namespace acacia
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -1,6 +1,7 @@
 #include "src/dispatcher.h"
 
 #include <algorithm>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 
@@ -17,6 +18,9 @@
 constexpr std::uint32_t kMostAttempts = 8;
 // Attempts that may have run, of one idempotent request.
 constexpr std::uint32_t kMostUncertainAttempts = 3;
+// At its deadline an attempt that ran this long tells against its backend
+// server.
+constexpr Duration kSilence = std::chrono::seconds(1);
 // While requests wait, room is looked for at least this often.
 constexpr Duration kQueuePoll = std::chrono::milliseconds(20);
 
@@ -24,6 +28,9 @@
   AttemptId id;
   PooledBackend* backend = nullptr;
   TimePoint started;
+  // When it counts as overdue; nothing when that is unknown, or past.
+  std::optional<TimePoint> overdue_at;
+  bool was_overdue = false;
 };
 
 struct RequestState {
@@ -87,13 +94,18 @@
                 AttemptResult result,
                 bool replayable,
                 TimePoint now);
+  bool MayRetryRefused(TimePoint now);
   void Retry(RequestState& request, TimePoint now);
   void Refuse(RequestId request, ErrorKind not_run_kind);
   void Finish(RequestId request);
-  void Learn(const RunningAttempt& attempt,
+  void Learn(const RequestState& request,
+             const RunningAttempt& attempt,
              AttemptResult result,
              TimePoint now);
   void ExpireRunning(TimePoint now);
+  void CheckOverdue(TimePoint now);
+  void ForgetOverdue(const RequestState& request, RunningAttempt& attempt);
+  void Hedge(RequestState& request, TimePoint now);
   void Arm(TimePoint now);
   DispatchActions TakeActions(TimePoint now);
 
@@ -106,6 +118,7 @@
   std::unordered_map<RequestId, RequestState> requests;
   // Requests with attempts, none of them relayed, by deadline.
   std::set<std::pair<TimePoint, RequestId>> by_deadline;
+  std::set<std::tuple<TimePoint, RequestId, AttemptId>> by_overdue;
   std::optional<TimePoint> wake;
   DispatchActions actions;
 };
@@ -136,8 +149,9 @@
 
 void Dispatcher::State::Enqueue(RequestState& request, TimePoint now) {
   const Work& work = request.work;
-  const WaitingRequest waiting{work.request, work.account, work.work_class,
-                               work.deadline};
+  const WaitingRequest waiting{
+      work.request, work.account, work.work_class,
+      work.deadline - this->pool.MedianLatency(work.work_class)};
   const std::optional<RequestId> shed = this->queue.Push(waiting, now);
   if (shed) {
     this->Refuse(*shed, ErrorKind::kQueueFull);
@@ -159,7 +173,12 @@
                                 TimePoint now) {
   const Work& work = request.work;
   request.last_attempt = request.last_attempt.Next();
-  request.running.push_back({request.last_attempt, &backend, now});
+  RunningAttempt attempt{request.last_attempt, &backend, now, {}, false};
+  if (const auto slow = this->pool.SlowAfter(work.work_class)) {
+    attempt.overdue_at = now + *slow;
+    this->by_overdue.emplace(now + *slow, work.request, attempt.id);
+  }
+  request.running.push_back(attempt);
   this->pool.OnStart(backend, work.work_class, now);
   this->by_deadline.emplace(work.deadline, work.request);
   this->actions.push_back(StartAttempt{work.request, request.last_attempt,
@@ -205,6 +224,7 @@
       request.running.begin(), request.running.end(),
       [attempt](const RunningAttempt& each) { return each.id == attempt; });
   PooledBackend* backend = found->backend;
+  this->ForgetOverdue(request, *found);
   request.running.erase(found);
   this->pool.OnRelease(*backend, request.work.work_class);
   if (request.running.empty()) {
@@ -212,6 +232,15 @@
   }
 }
 
+void Dispatcher::State::ForgetOverdue(const RequestState& request,
+                                      RunningAttempt& attempt) {
+  if (attempt.overdue_at) {
+    this->by_overdue.erase(
+        {*attempt.overdue_at, request.work.request, attempt.id});
+    attempt.overdue_at.reset();
+  }
+}
+
 void Dispatcher::State::CancelAll(RequestState& request) {
   while (!request.running.empty()) {
     const AttemptId attempt = request.running.back().id;
@@ -230,13 +259,14 @@
                                  bool replayable,
                                  TimePoint now) {
   const bool not_run = !UncertainKind(result).has_value();
-  if (!replayable || now >= request.work.deadline ||
+  const Duration needed = this->pool.MedianLatency(request.work.work_class);
+  if (!replayable || now + needed >= request.work.deadline ||
       request.last_attempt.Value() >= kMostAttempts ||
       !this->pool.HasChoice(request.failed)) {
     return false;
   }
   if (result == AttemptResult::kRefused) {
-    return this->budget.SpendAfterRefusal();
+    return this->MayRetryRefused(now);
   }
   if (!not_run && (!request.work.idempotent ||
                    request.uncertain_attempts >= kMostUncertainAttempts)) {
@@ -245,6 +275,14 @@
   return this->budget.Spend();
 }
 
+bool Dispatcher::State::MayRetryRefused(TimePoint now) {
+  if (this->budget.SpendAfterRefusal()) {
+    return true;
+  }
+  this->pool.PauseSpill(now);
+  return this->budget.HasAnswered(now);
+}
+
 void Dispatcher::State::Retry(RequestState& request, TimePoint now) {
   if (!this->TryStart(request, now)) {
     this->Enqueue(request, now);
@@ -269,24 +307,17 @@
   this->requests.erase(found);
 }
 
-void Dispatcher::State::Learn(const RunningAttempt& attempt,
+void Dispatcher::State::Learn(const RequestState& request,
+                              const RunningAttempt& attempt,
                               AttemptResult result,
                               TimePoint now) {
-  PooledBackend& backend = *attempt.backend;
-  switch (result) {
-    case AttemptResult::kRefused:
-      ++backend.counts.refused;
-      backend.limit.OnRefused(backend.InFlight() - 1, now, *this->random);
-      return;
-    case AttemptResult::kSuccess:
-      backend.limit.OnAnswer(backend.InFlight());
-      this->budget.OnAnswer();
-      return;
-    case AttemptResult::kCancelled:
-      return;
-    default:
-      ++backend.counts.failures;
+  if (result == AttemptResult::kSuccess) {
+    this->budget.OnAnswer(now);
   }
+  this->pool.OnOutcome(
+      *attempt.backend,
+      {request.work.work_class, result, attempt.started, attempt.was_overdue},
+      now);
 }
 
 void Dispatcher::State::ExpireRunning(TimePoint now) {
@@ -295,11 +326,50 @@
     const RequestId id = this->by_deadline.begin()->second;
     RequestState& request = *this->Find(id);
     this->MarkUncertain(request, ErrorKind::kBackendTimeout);
+    for (const RunningAttempt& attempt : request.running) {
+      const bool had_time = now - attempt.started >= kSilence;
+      if (had_time && !attempt.was_overdue) {
+        this->Learn(request, attempt, AttemptResult::kTimedOut, now);
+      }
+    }
     this->CancelAll(request);
     this->Refuse(id, ErrorKind::kBackendTimeout);
   }
 }
 
+// Attempts that take much longer than usual are evidence before they end, and
+// short ones are tried a second time beside the first.
+void Dispatcher::State::CheckOverdue(TimePoint now) {
+  while (!this->by_overdue.empty() &&
+         std::get<TimePoint>(*this->by_overdue.begin()) <= now) {
+    const auto [at, request_id, attempt_id] = *this->by_overdue.begin();
+    RequestState& request = *this->Find(request_id);
+    RunningAttempt& attempt = *this->FindAttempt(request, attempt_id);
+    this->ForgetOverdue(request, attempt);
+    attempt.was_overdue = true;
+    this->pool.OnOverdue(*attempt.backend, attempt.started, now);
+    this->Hedge(request, now);
+  }
+}
+
+void Dispatcher::State::Hedge(RequestState& request, TimePoint now) {
+  const Work& work = request.work;
+  const Duration needed = this->pool.MedianLatency(work.work_class);
+  if (!work.hedgeable || !work.idempotent ||
+      work.work_class != WorkClass::kShort || request.running.size() != 1 ||
+      request.last_attempt.Value() >= kMostAttempts || !this->queue.IsEmpty() ||
+      now + needed >= work.deadline) {
+    return;
+  }
+  std::vector<BackendId> excluded = request.failed;
+  excluded.push_back(request.running.front().backend->server.id);
+  PooledBackend* backend =
+      this->pool.Pick({work.work_class, true, excluded}, now);
+  if (backend != nullptr && this->budget.Spend()) {
+    this->StartOn(request, *backend, now);
+  }
+}
+
 void Dispatcher::State::Arm(TimePoint now) {
   this->wake = this->queue.NextExpiry();
   const auto sooner = [this](TimePoint at) {
@@ -308,6 +378,9 @@
   if (!this->by_deadline.empty()) {
     sooner(this->by_deadline.begin()->first);
   }
+  if (!this->by_overdue.empty()) {
+    sooner(std::get<TimePoint>(*this->by_overdue.begin()));
+  }
   if (!this->queue.IsEmpty()) {
     sooner(std::min(this->pool.NextOpening(now).value_or(now + kQueuePoll),
                     now + kQueuePoll));
@@ -376,7 +449,7 @@
   const bool server_error = http_status >= 500;
   const AttemptResult result =
       server_error ? AttemptResult::kServerError : AttemptResult::kSuccess;
-  state.Learn(*attempt, result, now);
+  state.Learn(*request, *attempt, result, now);
   if (server_error) {
     state.MarkUncertain(*request, ErrorKind::kBackendBroken);
     request->failed.push_back(attempt->backend->server.id);
@@ -398,6 +471,7 @@
     }
   }
   request->relayed = attempt_id;
+  state.ForgetOverdue(*request, request->running.front());
   state.by_deadline.erase({request->work.deadline, request_id});
   state.actions.push_back(RelayAnswer{request_id, attempt_id});
   return state.TakeActions(now);
@@ -419,13 +493,13 @@
   if (request->relayed) {
     if (report.result != AttemptResult::kSuccess &&
         report.result != AttemptResult::kServerError) {
-      state.Learn(*attempt, report.result, now);
+      state.Learn(*request, *attempt, report.result, now);
     }
     state.EndAttempt(*request, report.attempt);
     state.Finish(report.request);
     return state.TakeActions(now);
   }
-  state.Learn(*attempt, report.result, now);
+  state.Learn(*request, *attempt, report.result, now);
   const std::optional<ErrorKind> uncertain = UncertainKind(report.result);
   if (uncertain || report.result == AttemptResult::kSuccess) {
     state.MarkUncertain(*request, uncertain.value_or(ErrorKind::kInternal));
@@ -468,6 +542,7 @@
     state.Refuse(expired, ErrorKind::kDeadlineTooShort);
   }
   state.ExpireRunning(now);
+  state.CheckOverdue(now);
   return state.TakeActions(now);
 }
 
--- a/src/home_assignment.cc
+++ b/src/home_assignment.cc
@@ -55,9 +55,8 @@
   for (const BackendServer& backend : backend_servers) {
     slots += backend.slots;
   }
-  const std::size_t per_entry =
-      std::min(backend_servers.size(),
-               std::max(kMinHomes, DivideUp(slots, entries.size())));
+  const std::size_t per_entry = std::min(
+      backend_servers.size(), std::max(kMinHomes, slots / entries.size()));
   const std::size_t per_backend =
       DivideUp(per_entry * entries.size(), backend_servers.size());
   assignment.entries_per_home = per_backend;
--- a/src/retry_budget.cc
+++ b/src/retry_budget.cc
@@ -9,6 +9,7 @@
 constexpr double kMostSavedRetries = 10;
 constexpr double kRefusalRetriesPerAnswer = 1;
 constexpr double kMostSavedRefusalRetries = 20;
+constexpr Duration kAnswerRemembered = std::chrono::seconds(1);
 
 bool Take(double& saved) {
   if (saved < 1) {
@@ -29,7 +30,8 @@
       std::min(this->retries + this->earned_per_request, kMostSavedRetries);
 }
 
-void RetryBudget::OnAnswer() {
+void RetryBudget::OnAnswer(TimePoint now) {
+  this->last_answer = now;
   this->refusal_retries =
       std::min(this->refusal_retries + kRefusalRetriesPerAnswer,
                kMostSavedRefusalRetries);
@@ -39,6 +41,10 @@
   return Take(this->retries);
 }
 
+bool RetryBudget::HasAnswered(TimePoint now) const {
+  return this->last_answer && now - *this->last_answer < kAnswerRemembered;
+}
+
 bool RetryBudget::SpendAfterRefusal() {
   return Take(this->refusal_retries) || Take(this->retries);
 }
--- a/src/retry_budget.h
+++ b/src/retry_budget.h
@@ -8,6 +8,9 @@
 #define SRC_RETRY_BUDGET_H_
 
 #include <cstdint>
+#include <optional>
+
+#include "src/clock.h"
 
 namespace acacia {
 
@@ -17,17 +20,21 @@
   void Configure(std::uint32_t percent);
 
   void OnRequest();
-  void OnAnswer();
+  void OnAnswer(TimePoint now);
 
   // Takes one retry or hedge; false when none is left.
   bool Spend();
   // Takes one retry of an attempt that provably did not run.
   bool SpendAfterRefusal();
+  // The service has answered within the last moments: a request that was
+  // refused may wait for a slot although no retry is left.
+  bool HasAnswered(TimePoint now) const;
 
  private:
   double earned_per_request = 0;
   double retries = 1;
   double refusal_retries = 0;
+  std::optional<TimePoint> last_answer;
 };
 
 }  // namespace acacia
--- /dev/null
+++ b/src/service_health.cc
@@ -0,0 +1,214 @@
+#include "src/service_health.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacia {
+
+namespace {
+
+constexpr Duration kRefreshEvery = std::chrono::milliseconds(100);
+// An attempt this many times as long as the service's median is slow.
+constexpr int kSlowFactor = 3;
+constexpr Duration kLeastSlow = std::chrono::milliseconds(10);
+// A backend server's median counts from this many latencies on, and the
+// service's from this many backend servers on.
+constexpr std::size_t kMinLatencies = 3;
+constexpr std::size_t kMinMedians = 2;
+// To tell against a suspect the others need this many good outcomes in the
+// same time, and at most one bad in kGoodPerBad good ones.
+constexpr std::uint32_t kMinGoodOfOthers = 4;
+constexpr std::uint32_t kGoodPerBad = 3;
+// A suspect takes an avoided one's place only when it is worse by this much.
+constexpr double kWorseBy = 0.15;
+
+}  // namespace
+
+void ServiceHealth::SetBackends(std::vector<JudgedBackend> backends,
+                                std::uint32_t floor_percent,
+                                TimePoint now) {
+  this->backends = std::move(backends);
+  this->floor_percent = floor_percent;
+  this->next_refresh = TimePoint{};
+  this->RefreshWhenDue(now);
+  this->SpareUntilFloorHolds(now);
+}
+
+void ServiceHealth::AddLatency(BackendHealth& backend,
+                               WorkClass work_class,
+                               Duration latency,
+                               TimePoint now) {
+  backend.latencies[static_cast<std::size_t>(work_class)].Add(latency);
+  this->RefreshWhenDue(now);
+}
+
+void ServiceHealth::RefreshWhenDue(TimePoint now) {
+  if (now < this->next_refresh) {
+    return;
+  }
+  this->next_refresh = now + kRefreshEvery;
+  this->RefreshMedian(WorkClass::kShort);
+  this->RefreshMedian(WorkClass::kLong);
+  this->RefreshRates();
+}
+
+void ServiceHealth::RefreshMedian(WorkClass work_class) {
+  const auto index = static_cast<std::size_t>(work_class);
+  std::vector<Duration> each;
+  for (const JudgedBackend& backend : this->backends) {
+    const LatencyWindow& window = backend.health->latencies[index];
+    if (window.Count() >= kMinLatencies) {
+      each.push_back(window.Median());
+    }
+  }
+  if (each.size() < kMinMedians) {
+    return;
+  }
+  // The lower of two in the middle: of two backend servers the faster one sets
+  // the measure.
+  const auto middle =
+      each.begin() + static_cast<std::ptrdiff_t>((each.size() - 1) / 2);
+  std::nth_element(each.begin(), middle, each.end());
+  this->medians[index] = *middle;
+}
+
+ServiceHealth::Counts ServiceHealth::CountRecent(
+    const BackendHealth& backend) const {
+  Counts counts;
+  backend.ForRecent([&counts](const AttemptEvidence& outcome) {
+    counts.failed += outcome.failed ? 1 : 0;
+    counts.slow += outcome.slow ? 1 : 0;
+    counts.all += 1;
+  });
+  return counts;
+}
+
+void ServiceHealth::RefreshRates() {
+  this->totals = {};
+  for (const JudgedBackend& backend : this->backends) {
+    if (backend.health->IsAvoided()) {
+      continue;
+    }
+    const Counts counts = this->CountRecent(*backend.health);
+    this->totals.failed += counts.failed;
+    this->totals.slow += counts.slow;
+    this->totals.all += counts.all;
+  }
+}
+
+UsualRates ServiceHealth::RatesWithout(const BackendHealth& backend) const {
+  const Counts own = this->CountRecent(backend);
+  const double all = this->totals.all - own.all;
+  if (all <= 0) {
+    return {};
+  }
+  return {std::max(0.0, this->totals.failed - own.failed) / all,
+          std::max(0.0, this->totals.slow - own.slow) / all};
+}
+
+std::optional<Duration> ServiceHealth::SlowAfter(WorkClass work_class) const {
+  const Duration median = this->MedianLatency(work_class);
+  if (median == Duration{}) {
+    return std::nullopt;
+  }
+  return std::max(median * kSlowFactor, median + kLeastSlow);
+}
+
+Duration ServiceHealth::MedianLatency(WorkClass work_class) const {
+  return this->medians[static_cast<std::size_t>(work_class)];
+}
+
+void ServiceHealth::Add(BackendHealth& backend,
+                        const AttemptEvidence& outcome,
+                        TimePoint now) {
+  this->RefreshWhenDue(now);
+  if (!backend.Add(outcome, this->RatesWithout(backend), now)) {
+    return;
+  }
+  switch (this->CompareWithOthers(backend)) {
+    case Contrast::kClear:
+      return this->AvoidWithinFloor(backend, now);
+    case Contrast::kNone:
+      return backend.Acquit();
+    case Contrast::kUnknown:
+      return;
+  }
+}
+
+ServiceHealth::Contrast ServiceHealth::CompareWithOthers(
+    const BackendHealth& suspect) const {
+  const TimePoint since = suspect.SuspectSince();
+  std::uint32_t good = 0;
+  std::uint32_t bad = 0;
+  for (const JudgedBackend& backend : this->backends) {
+    if (backend.health == &suspect || backend.health->IsAvoided()) {
+      continue;
+    }
+    backend.health->ForRecent([&](const AttemptEvidence& outcome) {
+      if (outcome.started >= since) {
+        ++(outcome.IsBad() ? bad : good);
+      }
+    });
+  }
+  if (bad * kGoodPerBad > good) {
+    return bad >= 2 ? Contrast::kNone : Contrast::kUnknown;
+  }
+  return good >= kMinGoodOfOthers ? Contrast::kClear : Contrast::kUnknown;
+}
+
+void ServiceHealth::AvoidWithinFloor(BackendHealth& suspect, TimePoint now) {
+  const auto own = std::find_if(this->backends.begin(), this->backends.end(),
+                                [&suspect](const JudgedBackend& each) {
+                                  return each.health == &suspect;
+                                });
+  if (own == this->backends.end()) {
+    return;
+  }
+  const std::uint32_t slots = own->is_capacity ? own->slots : 0;
+  if (!this->HoldsFloor(slots)) {
+    BackendHealth* least = this->LeastBadAvoided();
+    if (least == nullptr || suspect.Badness() < least->Badness() + kWorseBy) {
+      return suspect.Acquit();
+    }
+    least->Spare(now);
+    if (!this->HoldsFloor(slots)) {
+      return suspect.Acquit();
+    }
+  }
+  suspect.Avoid(now);
+}
+
+bool ServiceHealth::HoldsFloor(std::uint32_t without_slots) const {
+  std::uint64_t all = 0;
+  std::uint64_t capacity = 0;
+  for (const JudgedBackend& backend : this->backends) {
+    all += backend.slots;
+    const bool counts = backend.is_capacity && !backend.health->IsAvoided();
+    capacity += counts ? backend.slots : 0;
+  }
+  return capacity >= without_slots &&
+         (capacity - without_slots) * 100 >= all * this->floor_percent;
+}
+
+BackendHealth* ServiceHealth::LeastBadAvoided() const {
+  BackendHealth* least = nullptr;
+  for (const JudgedBackend& backend : this->backends) {
+    if (backend.health->IsAvoided() &&
+        (least == nullptr || backend.health->Badness() < least->Badness())) {
+      least = backend.health;
+    }
+  }
+  return least;
+}
+
+void ServiceHealth::SpareUntilFloorHolds(TimePoint now) {
+  while (!this->HoldsFloor(0)) {
+    BackendHealth* least = this->LeastBadAvoided();
+    if (least == nullptr) {
+      return;
+    }
+    least->Spare(now);
+  }
+}
+
+}  // namespace acacia
