Pass over backend servers with an overdue attempt; pause longer after refusals

Cause: a silent backend server holds its slots, so entries went on being refused there twice a second each, and a crest spent attempts on full ones. Change: one with an attempt in flight past its usual time is passed over while others have room; the pause after repeated refusals, away from home, may grow to 2 s instead of 0.5 s.

--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -286,8 +286,13 @@
   return this->PickAvoided(request, now);
 }
 
-// Chance decides whether one that returns or warms up takes this request.
+// Chance decides whether one that returns or warms up takes this request. One
+// that has not answered in its usual time is passed over while others have
+// room.
 bool BackendPool::TakesTurn(const PooledBackend& backend, TimePoint now) {
+  if (backend.overdue > 0) {
+    return false;
+  }
   const double weight = backend.Weight(now);
   return weight >= 1 || this->random.Fraction() < weight;
 }
@@ -310,7 +315,10 @@
   ++backend.counts.attempts;
 }
 
-void BackendPool::OnRelease(PooledBackend& backend, WorkClass work_class) {
+void BackendPool::OnRelease(PooledBackend& backend,
+                            WorkClass work_class,
+                            bool was_overdue) {
+  backend.overdue -= was_overdue ? 1 : 0;
   --backend.in_flight[IndexOf(work_class)];
   if (!backend.in_view && backend.InFlight() == 0) {
     this->backends.erase(BackendId(backend.server.id));
@@ -368,6 +376,7 @@
 void BackendPool::OnOverdue(PooledBackend& backend,
                             TimePoint started,
                             TimePoint now) {
+  ++backend.overdue;
   AttemptEvidence evidence;
   evidence.started = started;
   evidence.slow = true;
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -47,6 +47,8 @@
   bool home = false;
   bool long_host = false;
   std::array<std::uint32_t, kWorkClassCount> in_flight{};
+  // Attempts in flight that have taken longer than SlowAfter.
+  std::uint32_t overdue = 0;
   ConcurrencyLimit limit;
   SlowStart slow_start;
   BackendHealth health;
@@ -87,7 +89,9 @@
 
   void OnStart(PooledBackend& backend, WorkClass work_class, TimePoint now);
   // Frees the slot; the reference is invalid afterwards.
-  void OnRelease(PooledBackend& backend, WorkClass work_class);
+  void OnRelease(PooledBackend& backend,
+                 WorkClass work_class,
+                 bool was_overdue);
   // The service is full: only home backend servers get work for a moment.
   void PauseSpill(TimePoint now);
   void OnOutcome(PooledBackend& backend,
--- a/src/concurrency_limit.cc
+++ b/src/concurrency_limit.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr Duration kFirstPause = std::chrono::milliseconds(4);
-constexpr Duration kLongestPause = std::chrono::milliseconds(500);
+constexpr Duration kLongestPause = std::chrono::milliseconds(2000);
 // At a home backend server slots come free for this entry again soon.
 constexpr Duration kLongestHomePause = std::chrono::milliseconds(32);
 constexpr std::uint32_t kMostDoublings = 10;
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -224,9 +224,10 @@
       request.running.begin(), request.running.end(),
       [attempt](const RunningAttempt& each) { return each.id == attempt; });
   PooledBackend* backend = found->backend;
+  const bool was_overdue = found->was_overdue;
   this->ForgetOverdue(request, *found);
   request.running.erase(found);
-  this->pool.OnRelease(*backend, request.work.work_class);
+  this->pool.OnRelease(*backend, request.work.work_class, was_overdue);
   if (request.running.empty()) {
     this->by_deadline.erase({request.work.deadline, request.work.request});
   }
