--- /dev/null
+++ b/src/backend_connection.cc
@@ -0,0 +1,125 @@
+#include "src/backend_connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio.hpp>
+#include <cerrno>
+#include <utility>
+#include <vector>
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+using KeepIdle = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using KeepInterval =
+    net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using KeepCount = net::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using UserTimeout =
+    net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+constexpr int kKeepIdleSeconds = 10;
+constexpr int kKeepIntervalSeconds = 3;
+constexpr int kKeepCount = 3;
+
+// Still open and nothing to read: an idle connection that holds bytes has an
+// answer that nobody asked for.
+bool IsQuiet(BackendConnection& connection) {
+  char byte = 0;
+  const ssize_t got = ::recv(connection.socket.native_handle(), &byte, 1,
+                             MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool IsFresh(const BackendConnection& connection,
+             ConnectionNeed need,
+             TimePoint now) {
+  const Duration age = now - connection.proven;
+  return age < (need == ConnectionNeed::kProven ? kRecentlyProven : kMaxIdle);
+}
+
+}  // namespace
+
+void SetStreamOptions(net::ip::tcp::socket& socket, Duration user_timeout) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(user_timeout);
+  boost::system::error_code ignored;
+  socket.set_option(net::ip::tcp::no_delay(true), ignored);
+  socket.set_option(net::socket_base::keep_alive(true), ignored);
+  socket.set_option(KeepIdle(kKeepIdleSeconds), ignored);
+  socket.set_option(KeepInterval(kKeepIntervalSeconds), ignored);
+  socket.set_option(KeepCount(kKeepCount), ignored);
+  socket.set_option(UserTimeout(static_cast<int>(milliseconds.count())),
+                    ignored);
+}
+
+ConnectionPool::CheckOut ConnectionPool::TryCheckOut(const BackendId& backend,
+                                                     ConnectionNeed need,
+                                                     std::uint32_t limit,
+                                                     TimePoint now) {
+  // Sockets close after the lock is released.
+  std::vector<BackendConnectionPtr> closing;
+  const std::lock_guard lock(this->mutex);
+  PerBackend& pool = this->backends[backend];
+  if (pool.in_use >= limit) {
+    return {};
+  }
+  CheckOut result{true, nullptr};
+  // The newest is at the back: when it is too old, so are the others.
+  while (!pool.idle.empty() && IsFresh(*pool.idle.back(), need, now)) {
+    BackendConnectionPtr candidate = std::move(pool.idle.back());
+    pool.idle.pop_back();
+    if (IsQuiet(*candidate)) {
+      result.connection = std::move(candidate);
+      break;
+    }
+    closing.push_back(std::move(candidate));
+  }
+  ++pool.in_use;
+  while (!pool.idle.empty() && pool.in_use + pool.idle.size() > limit) {
+    closing.push_back(std::move(pool.idle.front()));
+    pool.idle.pop_front();
+  }
+  return result;
+}
+
+void ConnectionPool::CheckIn(const BackendId& backend,
+                             BackendConnectionPtr connection,
+                             TimePoint now) {
+  connection->proven = now;
+  const std::lock_guard lock(this->mutex);
+  PerBackend& pool = this->backends[backend];
+  --pool.in_use;
+  pool.idle.push_back(std::move(connection));
+}
+
+void ConnectionPool::Drop(const BackendId& backend) {
+  const std::lock_guard lock(this->mutex);
+  --this->backends[backend].in_use;
+}
+
+void ConnectionPool::CloseIdle(TimePoint now) {
+  std::vector<BackendConnectionPtr> closing;
+  const std::lock_guard lock(this->mutex);
+  for (auto& [backend, pool] : this->backends) {
+    while (!pool.idle.empty() && now - pool.idle.front()->proven >= kMaxIdle) {
+      closing.push_back(std::move(pool.idle.front()));
+      pool.idle.pop_front();
+    }
+  }
+  std::erase_if(this->backends, [](const auto& each) {
+    return each.second.in_use == 0 && each.second.idle.empty();
+  });
+}
+
+std::uint32_t ConnectionPool::Open() {
+  const std::lock_guard lock(this->mutex);
+  std::size_t open = 0;
+  for (const auto& [backend, pool] : this->backends) {
+    open += pool.in_use + pool.idle.size();
+  }
+  return static_cast<std::uint32_t>(open);
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/caller_server.cc
@@ -0,0 +1,143 @@
+#include "src/caller_server.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "src/log_event.h"
+#include "src/proxy_session.h"
+#include "src/socket_address.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+using Tcp = net::ip::tcp;
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+// Unacknowledged bytes to a caller end the connection after this time.
+constexpr Duration kCallerUserTimeout = std::chrono::seconds(60);
+constexpr std::chrono::milliseconds kAcceptRetry{10};
+// The list of sessions is cleaned whenever it has grown by this many.
+constexpr std::size_t kCleanEvery = 256;
+
+}  // namespace
+
+struct CallerServer::State : std::enable_shared_from_this<State> {
+  State(const net::any_io_executor& executor, EntryContext& context)
+      : executor(executor),
+        acceptor(net::make_strand(executor)),
+        context(context) {}
+
+  net::awaitable<void> Accept();
+  void StartSession(Tcp::socket socket);
+  void ForEach(void (ProxySession::*action)());
+
+  net::any_io_executor executor;
+  Tcp::acceptor acceptor;
+  EntryContext& context;
+  std::mutex mutex;
+  std::vector<std::weak_ptr<ProxySession>> sessions;
+  std::size_t clean_at = kCleanEvery;
+};
+
+net::awaitable<void> CallerServer::State::Accept() {
+  while (this->acceptor.is_open()) {
+    auto [error, socket] =
+        co_await this->acceptor.async_accept(this->executor, kAwait);
+    if (!this->acceptor.is_open()) {
+      co_return;
+    }
+    if (error) {
+      // Out of descriptors, for example: wait for some to be closed.
+      net::steady_timer pause(this->acceptor.get_executor(), kAcceptRetry);
+      co_await pause.async_wait(kAwait);
+      continue;
+    }
+    this->StartSession(std::move(socket));
+  }
+}
+
+void CallerServer::State::StartSession(Tcp::socket socket) {
+  if (this->context.connections.load() >=
+      this->context.settings.max_caller_connections) {
+    this->context.metrics.refused_connections->Increment();
+    return;
+  }
+  SetStreamOptions(socket, kCallerUserTimeout);
+  const SessionStrand strand = net::make_strand(this->executor);
+  auto session =
+      std::make_shared<ProxySession>(this->context, std::move(socket), strand);
+  session->Start();
+  const std::lock_guard lock(this->mutex);
+  if (this->sessions.size() >= this->clean_at) {
+    std::erase_if(this->sessions,
+                  [](const auto& weak) { return weak.expired(); });
+    this->clean_at = this->sessions.size() + kCleanEvery;
+  }
+  this->sessions.push_back(session);
+}
+
+CallerServer::CallerServer(const net::any_io_executor& executor,
+                           EntryContext& context)
+    : state(std::make_shared<State>(executor, context)) {}
+
+CallerServer::~CallerServer() {
+  this->StopAccepting();
+}
+
+tl::expected<void, std::string> CallerServer::Listen(
+    const std::string& address) {
+  const auto endpoint = ParseSocketAddress(address);
+  if (!endpoint) {
+    return tl::unexpected("\"" + address + "\" is not an address");
+  }
+  const Tcp::endpoint local(endpoint->address, endpoint->port);
+  boost::system::error_code error;
+  Tcp::acceptor& acceptor = this->state->acceptor;
+  if (acceptor.open(local.protocol(), error) ||
+      acceptor.set_option(Tcp::acceptor::reuse_address(true), error) ||
+      acceptor.bind(local, error) ||
+      acceptor.listen(Tcp::acceptor::max_listen_connections, error)) {
+    return tl::unexpected(address + ": " + error.message());
+  }
+  net::co_spawn(acceptor.get_executor(), this->state->Accept(),
+                [keep = this->state](const std::exception_ptr&) {});
+  return {};
+}
+
+std::uint16_t CallerServer::Port() const {
+  return this->state->acceptor.local_endpoint().port();
+}
+
+void CallerServer::StopAccepting() {
+  net::post(this->state->acceptor.get_executor(), [keep = this->state] {
+    boost::system::error_code ignored;
+    keep->acceptor.close(ignored);
+  });
+}
+
+void CallerServer::State::ForEach(void (ProxySession::*action)()) {
+  std::vector<std::weak_ptr<ProxySession>> open;
+  {
+    const std::lock_guard lock(this->mutex);
+    open = this->sessions;
+  }
+  for (const auto& weak : open) {
+    if (const auto session = weak.lock()) {
+      (session.get()->*action)();
+    }
+  }
+}
+
+void CallerServer::CloseIdle() {
+  this->state->ForEach(&ProxySession::CloseIfIdle);
+}
+
+void CallerServer::CloseAll() {
+  this->state->ForEach(&ProxySession::CloseNow);
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/entry_metrics.h
@@ -0,0 +1,71 @@
+// The entry's metrics. Names are listed in docs/OPERATIONS.md.
+#ifndef SRC_ENTRY_METRICS_H_
+#define SRC_ENTRY_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "src/clock.h"
+#include "src/dispatcher.h"
+#include "src/error_kind.h"
+#include "src/ids.h"
+
+namespace acacia {
+
+inline constexpr int kAttemptResultCount =
+    static_cast<int>(AttemptResult::kCancelled) + 1;
+
+// Stable snake_case name.
+std::string_view AttemptResultName(AttemptResult result);
+
+// One service's metrics; lives as long as EntryMetrics.
+struct ServiceMetrics {
+  prometheus::Counter* relayed = nullptr;
+  // Answers that broke off after their head had been relayed.
+  prometheus::Counter* aborted = nullptr;
+  std::array<prometheus::Counter*, kErrorKindCount> errors{};
+  std::array<prometheus::Counter*, kAttemptResultCount> attempts{};
+  // Time until the answer's head was relayed.
+  prometheus::Histogram* latency = nullptr;
+};
+
+// Thread-safe.
+class EntryMetrics {
+ public:
+  EntryMetrics();
+
+  // The service named "" stands for requests that reached no service.
+  ServiceMetrics& Of(const ServiceName& service);
+
+  const prometheus::Registry& Registry() const { return *this->registry; }
+
+  prometheus::Gauge* caller_connections = nullptr;
+  prometheus::Gauge* backend_connections = nullptr;
+  prometheus::Gauge* in_flight = nullptr;
+  prometheus::Gauge* generation = nullptr;
+  prometheus::Gauge* agent_connected = nullptr;
+  prometheus::Gauge* stopping = nullptr;
+  prometheus::Counter* refused_connections = nullptr;
+
+ private:
+  std::unique_ptr<ServiceMetrics> Create(const ServiceName& service);
+
+  std::shared_ptr<prometheus::Registry> registry;
+  prometheus::Family<prometheus::Counter>* answers = nullptr;
+  prometheus::Family<prometheus::Counter>* attempt_results = nullptr;
+  prometheus::Family<prometheus::Histogram>* latencies = nullptr;
+  std::mutex mutex;
+  std::map<ServiceName, std::unique_ptr<ServiceMetrics>> services;
+};
+
+}  // namespace acacia
+
+#endif  // SRC_ENTRY_METRICS_H_
--- /dev/null
+++ b/src/entry_server.cc
@@ -0,0 +1,374 @@
+#include "src/entry_server.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <condition_variable>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "src/caller_server.h"
+#include "src/entry_context.h"
+#include "src/entry_link.h"
+#include "src/log_event.h"
+#include "src/operator_server.h"
+#include "src/random_source.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+
+constexpr std::chrono::milliseconds kHousekeepingInterval{250};
+// A draining connection is closed when no request has come on it for as many
+// rounds of housekeeping after the drain began.
+constexpr int kIdleRoundsBeforeClose = 4;
+// How long the last report to the agent may take.
+constexpr std::chrono::milliseconds kLastReportTime{200};
+constexpr std::uint32_t kFullPermille = 1000;
+
+std::uint64_t SeedOf(const schema::EntrySettingsT& settings) {
+  return settings.seed != 0 ? settings.seed : DrawSeed();
+}
+
+std::string AdvertisedAddress(const schema::EntrySettingsT& settings) {
+  return settings.caller_advertise.empty() ? settings.caller_listen
+                                           : settings.caller_advertise;
+}
+
+}  // namespace
+
+struct EntryServer::State {
+  State(const schema::EntrySettingsT& settings, const Clock& clock);
+
+  std::unique_ptr<Dispatcher> MakeDispatcher(const ServiceName& service,
+                                             const ServiceView& view);
+  void OnConfiguration(const schema::ConfigurationUpdateT& update);
+  void OnFleet(std::unique_ptr<schema::FleetUpdateT> update);
+  void Rebuild();
+  schema::EntryReportT MakeReport();
+  OperatorHandlers MakeOperatorHandlers();
+  std::vector<std::string> Status();
+  std::vector<std::string> Explain(const ServiceName& service);
+  void RefreshGauges();
+  std::uint32_t LoadPermille() const;
+  net::awaitable<void> Housekeep();
+  net::awaitable<void> Stop();
+  net::awaitable<void> Pause(Duration duration);
+  void Finish();
+
+  const std::uint64_t seed;
+  const Clock& clock;
+  net::io_context io;
+  EntryContext context;
+  // Runs everything here that is not a session.
+  net::strand<net::any_io_executor> strand;
+  CallerServer callers;
+  OperatorServer operators;
+  EntryLink link;
+
+  // Configuration, fleet and snapshot are changed under this lock; it comes
+  // before the service table's.
+  std::mutex mutex;
+  SeededRandom random;
+  EntryMember self;
+  std::shared_ptr<const Configuration> configuration;
+  std::unique_ptr<schema::FleetUpdateT> fleet;
+
+  std::atomic<bool> stop_begun{false};
+  std::atomic<bool> stopped{false};
+  std::mutex finished_mutex;
+  std::condition_variable finished_condition;
+  bool finished = false;
+  std::vector<std::thread> threads;
+};
+
+EntryServer::State::State(const schema::EntrySettingsT& settings,
+                          const Clock& clock)
+    : seed(SeedOf(settings)),
+      clock(clock),
+      io(static_cast<int>(settings.worker_threads)),
+      context(
+          settings,
+          clock,
+          io.get_executor(),
+          [this](const ServiceName& service, const ServiceView& view) {
+            return this->MakeDispatcher(service, view);
+          },
+          seed),
+      strand(net::make_strand(net::any_io_executor(io.get_executor()))),
+      callers(io.get_executor(), context),
+      operators(io.get_executor(),
+                settings.operator_token,
+                this->MakeOperatorHandlers()),
+      link(io.get_executor(),
+           settings.agent_address,
+           seed,
+           {[this](std::unique_ptr<schema::ConfigurationUpdateT> update) {
+              this->OnConfiguration(*update);
+            },
+            [this](std::unique_ptr<schema::FleetUpdateT> update) {
+              this->OnFleet(std::move(update));
+            },
+            [this](bool connected) {
+              this->context.metrics.agent_connected->Set(connected ? 1 : 0);
+              LogEvent("agent_link").With("connected", connected);
+            },
+            [this] { return this->MakeReport(); }}),
+      random(seed) {
+  this->self.instance = InstanceId(settings.instance);
+  this->self.caller_address = AdvertisedAddress(settings);
+  this->self.failure_domain = FailureDomain(settings.failure_domain);
+  this->self.region = settings.region;
+  this->self.alive = true;
+  this->context.claim_key = [this](schema::KeyClaimT claim, KeyClaimDone done) {
+    this->link.ClaimKey(std::move(claim), std::move(done));
+  };
+}
+
+// Called with `mutex` held, from Rebuild.
+std::unique_ptr<Dispatcher> EntryServer::State::MakeDispatcher(
+    const ServiceName& service,
+    const ServiceView& view) {
+  return std::make_unique<Dispatcher>(
+      service, this->self.instance,
+      std::make_unique<SeededRandom>(this->random.Next()), view,
+      this->clock.Now());
+}
+
+void EntryServer::State::OnConfiguration(
+    const schema::ConfigurationUpdateT& update) {
+  const std::lock_guard lock(this->mutex);
+  const Generation generation(update.generation);
+  if (!update.file_set ||
+      (this->configuration && generation < this->configuration->generation)) {
+    LogEvent("configuration_refused", LogSeverity::kWarning)
+        .With("generation", generation);
+    return;
+  }
+  if (this->configuration && generation == this->configuration->generation) {
+    return;
+  }
+  this->configuration = std::make_shared<const Configuration>(
+      BuildConfiguration(*update.file_set, generation));
+  this->Rebuild();
+  this->context.metrics.generation->Set(
+      static_cast<double>(generation.Value()));
+  LogEvent("configuration_applied").With("generation", generation);
+  this->link.ReportSoon();
+}
+
+void EntryServer::State::OnFleet(std::unique_ptr<schema::FleetUpdateT> update) {
+  const bool stop = update->stop;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->fleet = std::move(update);
+    this->Rebuild();
+  }
+  if (stop && !this->stop_begun.exchange(true)) {
+    net::co_spawn(this->strand, this->Stop(), net::detached);
+  }
+}
+
+void EntryServer::State::Rebuild() {
+  this->self.load_permille = this->LoadPermille();
+  this->self.leaving = this->stop_begun.load();
+  auto snapshot = std::make_shared<const EntrySnapshot>(
+      BuildSnapshot(this->configuration, this->fleet.get(), this->self));
+  this->context.services.Apply(snapshot->views);
+  this->context.snapshot.Set(std::move(snapshot));
+}
+
+// The share of this entry's own capacity in use: its caller connections and
+// requests against what it takes.
+std::uint32_t EntryServer::State::LoadPermille() const {
+  const std::uint64_t limit =
+      std::max<std::uint64_t>(this->context.settings.max_caller_connections, 1);
+  const std::uint64_t load =
+      this->context.connections.load() * std::uint64_t{kFullPermille} / limit;
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(load, kFullPermille));
+}
+
+schema::EntryReportT EntryServer::State::MakeReport() {
+  schema::EntryReportT report;
+  const auto snapshot = this->context.snapshot.Get();
+  report.generation =
+      snapshot->IsReady() ? snapshot->configuration->generation.Value() : 0;
+  report.fleet_sequence = snapshot->fleet_sequence;
+  report.load_permille = this->LoadPermille();
+  report.in_flight = this->context.active_requests.load();
+  report.stopping = this->stop_begun.load();
+  report.stopped = this->stopped.load();
+  for (const auto& [name, service] : this->context.services.All()) {
+    for (schema::BackendEvidenceT& evidence : service->TakeEvidence()) {
+      evidence.service = name.Value();
+      report.evidence.push_back(
+          std::make_unique<schema::BackendEvidenceT>(std::move(evidence)));
+    }
+  }
+  return report;
+}
+
+OperatorHandlers EntryServer::State::MakeOperatorHandlers() {
+  OperatorHandlers handlers;
+  handlers["/ready"] = [this](const TargetParts&) {
+    return ReadyReply(this->context.snapshot.Get()->IsReady() &&
+                      !this->stop_begun.load());
+  };
+  handlers["/metrics"] = [this](const TargetParts&) {
+    this->RefreshGauges();
+    return MetricsReply(this->context.metrics.Registry());
+  };
+  handlers["/status"] = [this](const TargetParts&) {
+    return LinesReply(this->Status());
+  };
+  handlers["/explain"] = [this](const TargetParts& target) {
+    return LinesReply(this->Explain(ServiceName(target.Parameter("service"))));
+  };
+  return handlers;
+}
+
+void EntryServer::State::RefreshGauges() {
+  EntryMetrics& metrics = this->context.metrics;
+  metrics.caller_connections->Set(this->context.connections.load());
+  metrics.backend_connections->Set(this->context.pool.Open());
+  metrics.in_flight->Set(this->context.active_requests.load());
+  metrics.stopping->Set(this->stop_begun.load() ? 1 : 0);
+}
+
+std::vector<std::string> EntryServer::State::Status() {
+  const auto snapshot = this->context.snapshot.Get();
+  const std::uint64_t generation =
+      snapshot->IsReady() ? snapshot->configuration->generation.Value() : 0;
+  return {
+      "instance " + this->context.settings.instance,
+      "generation " + std::to_string(generation),
+      "fleet_sequence " + std::to_string(snapshot->fleet_sequence),
+      "members " + std::to_string(snapshot->members.size()),
+      "in_flight " + std::to_string(this->context.active_requests.load()),
+      "caller_connections " + std::to_string(this->context.connections.load()),
+      std::string("stopping ") + (this->stop_begun.load() ? "true" : "false")};
+}
+
+std::vector<std::string> EntryServer::State::Explain(
+    const ServiceName& service) {
+  const auto found = this->context.services.Find(service);
+  return found ? found->Explain()
+               : std::vector<std::string>{"no service " + service.Value()};
+}
+
+net::awaitable<void> EntryServer::State::Pause(Duration duration) {
+  net::steady_timer timer(this->strand);
+  timer.expires_after(duration);
+  co_await timer.async_wait(net::as_tuple(net::use_awaitable));
+}
+
+net::awaitable<void> EntryServer::State::Housekeep() {
+  while (!this->stopped.load()) {
+    co_await this->Pause(kHousekeepingInterval);
+    this->context.pool.CloseIdle(this->clock.Now());
+  }
+}
+
+net::awaitable<void> EntryServer::State::Stop() {
+  LogEvent("stopping").With("in_flight", this->context.active_requests.load());
+  this->context.phase = EntryPhase::kLeaving;
+  {
+    const std::lock_guard lock(this->mutex);
+    this->Rebuild();
+  }
+  this->link.ReportSoon();
+  const std::chrono::milliseconds lifetime(
+      this->context.settings.answer_lifetime_ms);
+  co_await this->Pause(lifetime);
+  this->context.phase = EntryPhase::kDraining;
+  this->callers.StopAccepting();
+  for (int round = 0; this->context.connections.load() > 0; ++round) {
+    if (round >= kIdleRoundsBeforeClose) {
+      this->callers.CloseIdle();
+    }
+    co_await this->Pause(kHousekeepingInterval);
+  }
+  this->stopped = true;
+  LogEvent("stopped").With("instance", this->context.settings.instance);
+  this->link.ReportSoon();
+  co_await this->Pause(kLastReportTime);
+  this->Finish();
+}
+
+void EntryServer::State::Finish() {
+  const std::lock_guard lock(this->finished_mutex);
+  this->finished = true;
+  this->finished_condition.notify_all();
+}
+
+EntryServer::EntryServer(const schema::EntrySettingsT& settings,
+                         const Clock& clock)
+    : state(std::make_unique<State>(settings, clock)) {}
+
+EntryServer::~EntryServer() {
+  State& state = *this->state;
+  state.io.stop();
+  for (std::thread& thread : state.threads) {
+    thread.join();
+  }
+  // Sessions use the tables here: let them end before the tables do.
+  state.io.restart();
+  state.link.Stop();
+  state.callers.StopAccepting();
+  do {
+    state.callers.CloseAll();
+    state.io.run_one_for(kLastReportTime);
+  } while (state.context.connections.load() > 0);
+}
+
+tl::expected<void, std::string> EntryServer::Start() {
+  State& state = *this->state;
+  const schema::EntrySettingsT& settings = state.context.settings;
+  auto listening = state.callers.Listen(settings.caller_listen);
+  if (listening) {
+    listening = state.operators.Listen(settings.operator_listen);
+  }
+  if (!listening) {
+    return listening;
+  }
+  {
+    const std::lock_guard lock(state.mutex);
+    state.Rebuild();
+  }
+  state.link.Start();
+  net::co_spawn(state.strand, state.Housekeep(), net::detached);
+  const std::uint32_t count = std::max(settings.worker_threads, 1U);
+  for (std::uint32_t i = 0; i < count; ++i) {
+    state.threads.emplace_back([&state] { state.io.run(); });
+  }
+  LogEvent("serving")
+      .With("instance", settings.instance)
+      .With("callers", settings.caller_listen)
+      .With("operators", settings.operator_listen)
+      .With("threads", count);
+  return {};
+}
+
+std::uint16_t EntryServer::CallerPort() const {
+  return this->state->callers.Port();
+}
+
+std::uint16_t EntryServer::OperatorPort() const {
+  return this->state->operators.Port();
+}
+
+void EntryServer::BeginStop() {
+  if (!this->state->stop_begun.exchange(true)) {
+    net::co_spawn(this->state->strand, this->state->Stop(), net::detached);
+  }
+}
+
+void EntryServer::Wait() {
+  std::unique_lock lock(this->state->finished_mutex);
+  this->state->finished_condition.wait(
+      lock, [this] { return this->state->finished; });
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/entry_snapshot.cc
@@ -0,0 +1,124 @@
+#include "src/entry_snapshot.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacia {
+namespace {
+
+using schema::MemberState;
+
+EntryMember ToMember(const schema::FleetMemberT& from) {
+  EntryMember member;
+  member.instance = InstanceId(from.instance);
+  member.caller_address = from.caller_address;
+  member.failure_domain = FailureDomain(from.failure_domain);
+  member.region = from.region;
+  member.alive = from.state != MemberState::Dead;
+  member.leaving = from.state == MemberState::Leaving;
+  member.load_permille = from.load_permille;
+  return member;
+}
+
+// What the fleet says of the others, and what this instance knows of itself.
+std::vector<EntryMember> JoinMembers(const schema::FleetUpdateT* fleet,
+                                     const EntryMember& self) {
+  std::vector<EntryMember> members;
+  if (fleet != nullptr) {
+    for (const auto& from : fleet->members) {
+      EntryMember member = ToMember(*from);
+      if (member.instance != self.instance) {
+        members.push_back(std::move(member));
+      }
+    }
+  }
+  members.push_back(self);
+  return members;
+}
+
+void AddDiscovered(const schema::ServiceFleetStateT& state, ServiceView& view) {
+  for (const auto& from : state.discovered) {
+    const BackendId id(from->address);
+    const std::uint32_t slots =
+        from->slots != 0 ? from->slots : view.policy.slots_per_backend_server;
+    view.backend_servers.push_back(
+        {id, FailureDomain(from->failure_domain), slots});
+    if (from->cold) {
+      view.cold.insert(id);
+    }
+  }
+}
+
+const schema::ServiceFleetStateT* FindState(const schema::FleetUpdateT* fleet,
+                                            const ServiceName& service) {
+  if (fleet == nullptr) {
+    return nullptr;
+  }
+  const auto found = std::find_if(
+      fleet->services.begin(), fleet->services.end(),
+      [&](const auto& each) { return each->service == service.Value(); });
+  return found == fleet->services.end() ? nullptr : found->get();
+}
+
+ServiceView BuildView(const std::shared_ptr<const Configuration>& configuration,
+                      const Service& service,
+                      const schema::ServiceFleetStateT* state) {
+  ServiceView view;
+  view.policy = service.policy;
+  view.backend_servers = service.backend_servers;
+  if (state != nullptr) {
+    AddDiscovered(*state, view);
+    for (const std::string& address : state->ejected) {
+      view.ejected.emplace(address);
+    }
+    for (const std::string& address : state->leaving) {
+      view.leaving.emplace(address);
+    }
+  }
+  // The limits are part of the configuration and live as long.
+  view.accounts = std::shared_ptr<const AccountLimits>(
+      configuration, &configuration->accounts);
+  for (const BackendServer& backend : view.backend_servers) {
+    if (IsDrained(*configuration, service.name, backend)) {
+      view.leaving.insert(backend.id);
+    }
+  }
+  return view;
+}
+
+std::uint32_t SlotsOf(const ServiceView& view) {
+  std::uint32_t slots = 0;
+  for (const BackendServer& backend : view.backend_servers) {
+    slots += backend.slots;
+  }
+  return slots;
+}
+
+}  // namespace
+
+EntrySnapshot BuildSnapshot(std::shared_ptr<const Configuration> configuration,
+                            const schema::FleetUpdateT* fleet,
+                            const EntryMember& self) {
+  EntrySnapshot snapshot;
+  snapshot.members = JoinMembers(fleet, self);
+  snapshot.fleet_sequence = fleet == nullptr ? 0 : fleet->sequence;
+  if (!configuration) {
+    return snapshot;
+  }
+  snapshot.router = std::make_shared<const Router>(*configuration);
+  for (const auto& [name, service] : configuration->services) {
+    ServiceView view =
+        BuildView(configuration, service, FindState(fleet, name));
+    std::vector<EntryMember> subset =
+        ChooseSubset(name, SlotsOf(view), snapshot.members);
+    for (const EntryMember& member : subset) {
+      view.entries.push_back(member.instance);
+    }
+    snapshot.subsets.emplace(name, std::move(subset));
+    snapshot.views.emplace(name, std::move(view));
+  }
+  snapshot.configuration = std::move(configuration);
+  return snapshot;
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/message_reader.h
@@ -0,0 +1,108 @@
+// Reads HTTP messages piece by piece from a socket through a Beast parser: the
+// head, then the body into buffers that the reader of the body provides. What
+// has arrived is parsed before the socket is asked for more, so a small message
+// costs one read.
+#ifndef SRC_MESSAGE_READER_H_
+#define SRC_MESSAGE_READER_H_
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/system/error_code.hpp>
+#include <cstddef>
+
+namespace acacia {
+
+inline constexpr std::size_t kReadBytes = 16 * 1024;
+// Heads are small: an idle connection holds a buffer of this size.
+inline constexpr std::size_t kHeadReadBytes = 2 * 1024;
+
+template <bool kIsRequest>
+using MessageParser =
+    boost::beast::http::parser<kIsRequest, boost::beast::http::buffer_body>;
+
+struct BodyPiece {
+  boost::system::error_code error;
+  std::size_t bytes = 0;
+};
+
+// Parses buffered bytes into `out`. The error is `need_more` when the socket
+// must be read first.
+template <bool kIsRequest>
+BodyPiece ParseBufferedBody(boost::beast::flat_buffer& buffer,
+                            MessageParser<kIsRequest>& parser,
+                            boost::asio::mutable_buffer out) {
+  namespace http = boost::beast::http;
+  BodyPiece piece;
+  auto& body = parser.get().body();
+  body.data = out.data();
+  body.size = out.size();
+  while (!parser.is_done() && piece.bytes < out.size()) {
+    if (buffer.size() == 0) {
+      piece.error = http::error::need_more;
+      break;
+    }
+    buffer.consume(parser.put(buffer.data(), piece.error));
+    piece.bytes = out.size() - body.size;
+    if (piece.error == http::error::need_buffer) {
+      piece.error = {};
+      break;
+    }
+    if (piece.error) {
+      break;
+    }
+  }
+  if (piece.bytes > 0 && piece.error == http::error::need_more) {
+    piece.error = {};
+  }
+  return piece;
+}
+
+// Appends what the socket has to the buffer, at most `most` bytes.
+inline boost::asio::awaitable<boost::system::error_code> FillBuffer(
+    boost::asio::ip::tcp::socket& socket,
+    boost::beast::flat_buffer& buffer,
+    std::size_t most) {
+  constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+  const auto space = buffer.prepare(most);
+  const auto [error, bytes] = co_await socket.async_read_some(space, kAwait);
+  buffer.commit(bytes);
+  co_return error;
+}
+
+// Reads at least one byte of the body, or none when the message is complete.
+// The error is `partial_message` when the stream ends too early.
+template <bool kIsRequest>
+boost::asio::awaitable<BodyPiece> ReadBodyPiece(
+    boost::asio::ip::tcp::socket& socket,
+    boost::beast::flat_buffer& buffer,
+    MessageParser<kIsRequest>& parser,
+    boost::asio::mutable_buffer out) {
+  namespace http = boost::beast::http;
+  for (;;) {
+    BodyPiece piece = ParseBufferedBody<kIsRequest>(buffer, parser, out);
+    if (piece.error != http::error::need_more) {
+      co_return piece;
+    }
+    const auto error = co_await FillBuffer(socket, buffer, kReadBytes);
+    if (error == boost::asio::error::eof) {
+      piece.error = {};
+      parser.put_eof(piece.error);
+      co_return piece;
+    }
+    if (error) {
+      piece.error = error;
+      co_return piece;
+    }
+  }
+}
+
+}  // namespace acacia
+
+#endif  // SRC_MESSAGE_READER_H_
--- a/src/operator_server.cc
+++ b/src/operator_server.cc
@@ -91,13 +91,13 @@
 }
 
 struct OperatorServer::State {
-  State(net::any_io_executor executor, HttpHandler handler)
+  State(const net::any_io_executor& executor, HttpHandler handler)
       : server(net::make_strand(executor), std::move(handler)) {}
 
   HttpServer server;
 };
 
-OperatorServer::OperatorServer(net::any_io_executor executor,
+OperatorServer::OperatorServer(const net::any_io_executor& executor,
                                std::string token,
                                OperatorHandlers handlers) {
   // The handler owns the token and the paths: connections may outlive this
@@ -109,8 +109,7 @@
     return AnswerAsync(std::move(request), shared_token.get(),
                        shared_handlers.get());
   };
-  this->state =
-      std::make_unique<State>(std::move(executor), std::move(handler));
+  this->state = std::make_unique<State>(executor, std::move(handler));
 }
 
 OperatorServer::~OperatorServer() = default;
--- a/src/operator_server.h
+++ b/src/operator_server.h
@@ -38,7 +38,7 @@
 class OperatorServer {
  public:
   // An empty token lets everybody in.
-  OperatorServer(boost::asio::any_io_executor executor,
+  OperatorServer(const boost::asio::any_io_executor& executor,
                  std::string token,
                  OperatorHandlers handlers);
   ~OperatorServer();
--- /dev/null
+++ b/src/proxy_attempt.cc
@@ -0,0 +1,573 @@
+#include "src/proxy_attempt.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+#include "src/caller_headers.h"
+#include "src/socket_address.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
+constexpr std::size_t kRelayBytes = 16 * 1024;
+constexpr int kUnwindTurns = 16;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kContinueStatus = 100;
+constexpr int kSwitchingStatus = 101;
+constexpr int kRefusedStatus = 503;
+constexpr int kFirstServerError = 500;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+std::optional<std::uint32_t> ParseLoad(std::string_view text) {
+  std::uint32_t load = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, load);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return load;
+}
+
+}  // namespace
+
+bool Exchange::Keep(std::string_view piece, bool is_last) {
+  this->body_bytes += piece.size();
+  this->body_read = is_last;
+  if (this->body_bytes > this->max_body_bytes) {
+    return false;
+  }
+  if (this->streaming || this->body_bytes > kReplayableBodyBytes) {
+    this->streaming = true;
+  } else {
+    this->prefix.append(piece);
+  }
+  return true;
+}
+
+ProxyAttempt::ProxyAttempt(EntryContext& context,
+                           AttemptOwner& owner,
+                           Exchange& exchange,
+                           const StartAttempt& start)
+    : context(context),
+      owner(owner),
+      exchange(exchange),
+      start(start),
+      request_id(context.process_tag + "-" +
+                 std::to_string(start.request.Value()) + "." +
+                 std::to_string(start.attempt.Value())),
+      trace(exchange.trace),
+      began(context.clock.Now()) {
+  if (context.spans.IsOn()) {
+    this->trace = context.NewChild(exchange.trace);
+  }
+}
+
+ProxyAttempt::~ProxyAttempt() {
+  this->Release(false);
+}
+
+net::awaitable<void> ProxyAttempt::Run() {
+  const AttemptResult result = co_await this->Try();
+  this->Release(false);
+  this->ReportEnd(result);
+}
+
+net::awaitable<AttemptResult> ProxyAttempt::Try() {
+  if (!co_await this->MaySend()) {
+    co_return AttemptResult::kNotSent;
+  }
+  if (!co_await this->Connect()) {
+    co_return AttemptResult::kNotSent;
+  }
+  this->Progress();
+  if (!this->exchange.body_read) {
+    this->StartUpload();
+  } else if (!co_await this->SendBuffered()) {
+    co_return this->Failed(AttemptResult::kBroken);
+  }
+  if (const auto failed = co_await this->ReadAnswerHead()) {
+    co_return *failed;
+  }
+  const int status = static_cast<int>(this->parser->get().result_int());
+  if (!this->owner.OnAnswerHead(*this, status)) {
+    co_return status >= kFirstServerError ? AttemptResult::kServerError
+                                          : AttemptResult::kCancelled;
+  }
+  co_return co_await this->Relay();
+}
+
+// Only one attempt at a time reads the body from the caller. The upload of an
+// attempt that has ended needs a few turns of the strand to unwind.
+net::awaitable<bool> ProxyAttempt::MaySend() {
+  for (int turn = 0; this->exchange.uploads > 0 && turn < kUnwindTurns;
+       ++turn) {
+    co_await net::post(this->owner.Strand(), net::use_awaitable);
+  }
+  co_return this->exchange.IsReplayable() && this->exchange.uploads == 0 &&
+      !this->cancelled;
+}
+
+AttemptResult ProxyAttempt::Failed(AttemptResult otherwise) const {
+  if (this->cancelled) {
+    return AttemptResult::kCancelled;
+  }
+  if (!this->sent_bytes) {
+    return AttemptResult::kNotSent;
+  }
+  return this->timed_out ? AttemptResult::kTimedOut : otherwise;
+}
+
+void ProxyAttempt::Cancel() {
+  this->cancelled = true;
+  this->due = TimePoint::max();
+  if (this->sent_bytes) {
+    this->exchange.outcome_unknown = true;
+  }
+  if (this->connection) {
+    boost::system::error_code ignored;
+    this->connection->socket.close(ignored);
+  }
+  if (this->uploading) {
+    this->owner.Caller().CancelReads();
+  }
+}
+
+void ProxyAttempt::Expire() {
+  this->due = TimePoint::max();
+  this->timed_out = true;
+  if (this->connection) {
+    boost::system::error_code ignored;
+    this->connection->socket.close(ignored);
+  }
+}
+
+// Restarts the time-out for the backend server. While the answer's head is
+// awaited and the whole request has been sent, short work is bounded by the
+// deadline too; long work may think until its deadline.
+void ProxyAttempt::Progress() {
+  if (this->timed_out || this->cancelled) {
+    return;
+  }
+  this->due =
+      this->context.clock.Now() + this->exchange.policy.progress_timeout;
+  if (this->request_sent && !this->head_arrived) {
+    const TimePoint deadline = this->exchange.work.deadline;
+    this->due = this->exchange.work.work_class == WorkClass::kShort
+                    ? std::min(this->due, deadline)
+                    : std::max(this->due, deadline);
+  }
+  this->owner.GuardDeadlines();
+}
+
+void ProxyAttempt::AwaitCaller() {
+  this->due = TimePoint::max();
+  this->owner.ExpectCaller(true);
+}
+
+net::awaitable<bool> ProxyAttempt::Connect() {
+  const TimePoint now = this->context.clock.Now();
+  const auto need = this->start.proven_connection ? ConnectionNeed::kProven
+                                                  : ConnectionNeed::kAny;
+  auto out = this->context.pool.TryCheckOut(
+      this->start.backend, need, this->exchange.max_connections, now);
+  this->checked_out = out.granted;
+  if (!out.granted) {
+    co_return false;
+  }
+  this->connection = std::move(out.connection);
+  if (this->connection) {
+    co_return true;
+  }
+  co_return co_await this->OpenConnection();
+}
+
+net::awaitable<bool> ProxyAttempt::OpenConnection() {
+  const auto address = ParseSocketAddress(this->start.backend.Value());
+  if (!address) {
+    co_return false;
+  }
+  this->connection = std::make_unique<BackendConnection>(
+      this->owner.Caller().Socket().get_executor());
+  const TimePoint now = this->context.clock.Now();
+  this->due = std::min(now + kConnectTimeout, this->exchange.work.deadline);
+  this->owner.GuardDeadlines();
+  const net::ip::tcp::endpoint endpoint(address->address, address->port);
+  const auto [error] =
+      co_await this->connection->socket.async_connect(endpoint, kAwait);
+  if (error || this->cancelled || this->timed_out) {
+    co_return false;
+  }
+  SetStreamOptions(this->connection->socket,
+                   this->exchange.policy.progress_timeout);
+  co_return true;
+}
+
+http::request_header<> ProxyAttempt::BuildHead() const {
+  http::request_header<> head = this->exchange.head;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->exchange.work.deadline - this->context.clock.Now());
+  head.set(kRequestIdHeader, this->request_id);
+  head.set(kDeadlineHeader,
+           std::to_string(std::max<std::int64_t>(left.count(), 1)));
+  if (this->trace.span != 0) {
+    head.set(kTraceHeader, FormatTraceparent(this->trace));
+  }
+  return head;
+}
+
+net::awaitable<bool> ProxyAttempt::SendBuffered() {
+  using Body = http::span_body<const char>;
+  http::request<Body> message(this->BuildHead());
+  const std::string& body = this->exchange.prefix;
+  message.body() = Body::value_type(body.data(), body.size());
+  if (this->exchange.has_body) {
+    message.content_length(body.size());
+  }
+  this->sent_bytes = true;
+  const auto [error, bytes] =
+      co_await http::async_write(this->connection->socket, message, kAwait);
+  this->sent_bytes = bytes > 0;
+  this->request_sent = !error;
+  this->Progress();
+  co_return !error;
+}
+
+net::awaitable<bool> ProxyAttempt::SendHeadOf(http::request_header<> head) {
+  http::request<http::empty_body> message(std::move(head));
+  http::request_serializer<http::empty_body> serializer(message);
+  this->sent_bytes = true;
+  const auto [error, bytes] = co_await http::async_write_header(
+      this->connection->socket, serializer, kAwait);
+  this->sent_bytes = bytes > 0;
+  co_return !error;
+}
+
+void ProxyAttempt::StartUpload() {
+  this->uploading = true;
+  ++this->exchange.uploads;
+  net::co_spawn(this->owner.Strand(), this->Upload(),
+                [self = this->shared_from_this(),
+                 keep = this->owner.KeepAlive()](const std::exception_ptr&) {
+                  self->uploading = false;
+                  --self->exchange.uploads;
+                  self->owner.Signal();
+                });
+}
+
+// Runs beside the reader of the answer: a backend server may answer early.
+net::awaitable<void> ProxyAttempt::Upload() {
+  if (co_await this->SendHeadOf(this->BuildHead()) &&
+      co_await this->UploadBody()) {
+    this->request_sent = true;
+    this->Progress();
+    co_return;
+  }
+  this->upload_failed = true;
+}
+
+net::awaitable<bool> ProxyAttempt::UploadBody() {
+  net::ip::tcp::socket& socket = this->connection->socket;
+  std::vector<char> space(kRelayBytes);
+  const bool chunked = this->exchange.is_chunked;
+  std::string piece = this->exchange.prefix;
+  for (;;) {
+    if (!piece.empty()) {
+      this->Progress();
+      const net::const_buffer bytes = net::buffer(piece);
+      const auto [error, count] =
+          chunked ? co_await net::async_write(socket, http::make_chunk(bytes),
+                                              kAwait)
+                  : co_await net::async_write(socket, bytes, kAwait);
+      if (error) {
+        co_return false;
+      }
+    }
+    if (this->exchange.body_read) {
+      break;
+    }
+    const auto read = co_await this->NextUploadPiece(space);
+    if (this->cancelled || this->reported) {
+      co_return false;
+    }
+    if (!read) {
+      this->owner.OnCallerFailed(read.error());
+      co_return false;
+    }
+    piece.assign(space.data(), *read);
+  }
+  if (chunked) {
+    const auto [error, count] =
+        co_await net::async_write(socket, http::make_chunk_last(), kAwait);
+    co_return !error;
+  }
+  co_return true;
+}
+
+// Reads from the caller. Bytes are kept for another attempt as long as they
+// fit.
+net::awaitable<tl::expected<std::size_t, BodyError>>
+ProxyAttempt::NextUploadPiece(std::vector<char>& space) {
+  CallerConnection& caller = this->owner.Caller();
+  this->AwaitCaller();
+  if (std::exchange(this->exchange.must_continue, false)) {
+    const auto [error, count] = co_await net::async_write(
+        caller.Socket(), net::buffer(kContinue), kAwait);
+    if (error) {
+      co_return tl::unexpected(BodyError::kClosed);
+    }
+  }
+  const auto read = co_await caller.ReadBody(net::buffer(space));
+  this->owner.ExpectCaller(false);
+  if (!read) {
+    co_return read;
+  }
+  if (!this->exchange.Keep({space.data(), *read}, caller.IsBodyDone())) {
+    co_return tl::unexpected(BodyError::kMalformed);
+  }
+  co_return read;
+}
+
+net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ReadAnswerHead() {
+  for (;;) {
+    if (const auto failed = co_await this->ParseAnswerHead()) {
+      co_return failed;
+    }
+    const int status = static_cast<int>(this->parser->get().result_int());
+    if (status >= kFirstFinalStatus) {
+      break;
+    }
+    if (status == kSwitchingStatus) {
+      co_return AttemptResult::kBroken;
+    }
+    if (status != kContinueStatus && !co_await this->RelayInterim()) {
+      co_return this->Failed(AttemptResult::kCancelled);
+    }
+  }
+  this->head_arrived = true;
+  const auto& head = this->parser->get();
+  const auto echo = head[kRequestIdHeader];
+  if (!echo.empty() && echo != this->request_id) {
+    co_return AttemptResult::kMismatched;
+  }
+  this->NoteAnswerHeaders();
+  if (static_cast<int>(head.result_int()) == kRefusedStatus &&
+      head[kOutcomeHeader] == OutcomeName(Outcome::kNotRun)) {
+    this->DrainSmallAnswer();
+    co_return AttemptResult::kRefused;
+  }
+  co_return std::nullopt;
+}
+
+net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ParseAnswerHead() {
+  boost::beast::flat_buffer& buffer = this->connection->buffer;
+  this->parser = std::make_unique<Parser>();
+  this->parser->header_limit(kMaxAnswerHeadBytes);
+  this->parser->body_limit(boost::none);
+  this->parser->skip(this->exchange.is_head_request);
+  while (!this->parser->is_header_done()) {
+    boost::system::error_code error = http::error::need_more;
+    if (buffer.size() > 0) {
+      buffer.consume(this->parser->put(buffer.data(), error));
+    }
+    if (error == http::error::need_more) {
+      error = co_await FillBuffer(this->connection->socket, buffer, kReadBytes);
+    }
+    if (error) {
+      co_return this->Failed(AttemptResult::kBroken);
+    }
+  }
+  co_return std::nullopt;
+}
+
+// An interim answer (103 and the like) goes on to callers that know HTTP/1.1.
+net::awaitable<bool> ProxyAttempt::RelayInterim() {
+  if (this->exchange.caller_is_http10) {
+    co_return true;
+  }
+  http::response<http::empty_body> interim(this->parser->get().base());
+  StripHopByHop(interim);
+  http::response_serializer<http::empty_body> serializer(interim);
+  const auto [error, bytes] = co_await http::async_write_header(
+      this->owner.Caller().Socket(), serializer, kAwait);
+  this->Progress();
+  co_return !error;
+}
+
+void ProxyAttempt::NoteAnswerHeaders() {
+  const auto& head = this->parser->get();
+  this->leaving = head[kLeavingHeader] == "true";
+  this->load = ParseLoad(head[kLoadHeader]);
+}
+
+// A refusal's body that has arrived with its head is read, so that the
+// connection can be kept.
+void ProxyAttempt::DrainSmallAnswer() {
+  std::vector<char> space(kRelayBytes);
+  const BodyPiece piece = ParseBufferedBody<false>(
+      this->connection->buffer, *this->parser, net::buffer(space));
+  this->Release(!piece.error && this->parser->is_done() &&
+                this->parser->get().keep_alive() && this->request_sent &&
+                this->connection->buffer.size() == 0);
+}
+
+http::response<http::buffer_body> ProxyAttempt::BuildAnswer() {
+  http::response<http::buffer_body> answer(this->parser->get().base());
+  const bool chunked = this->parser->chunked();
+  StripHopByHop(answer);
+  for (const char* name : {kRequestIdHeader, kErrorHeader, kOutcomeHeader,
+                           kLeavingHeader, kLoadHeader}) {
+    answer.erase(name);
+  }
+  answer.version(11);
+  // Without a length the answer ends with the connection.
+  this->ends_with_close =
+      !this->has_no_body && (this->parser->need_eof() ||
+                             (chunked && this->exchange.caller_is_http10));
+  if (chunked && !this->exchange.caller_is_http10) {
+    answer.set(http::field::transfer_encoding, "chunked");
+  }
+  const bool close = this->ends_with_close || !this->request_sent ||
+                     !this->exchange.keep_alive || this->owner.MustClose();
+  this->exchange.keep_alive = !close;
+  if (close) {
+    answer.set(http::field::connection, "close");
+  } else if (this->exchange.caller_is_http10) {
+    answer.set(http::field::connection, "keep-alive");
+  }
+  return answer;
+}
+
+net::awaitable<AttemptResult> ProxyAttempt::Relay() {
+  const int status = static_cast<int>(this->parser->get().result_int());
+  this->success = status >= kFirstServerError ? AttemptResult::kServerError
+                                              : AttemptResult::kSuccess;
+  this->has_no_body =
+      this->exchange.is_head_request || status == 204 || status == 304;
+  this->begun_relay = true;
+  auto answer = this->BuildAnswer();
+  if (!this->has_no_body) {
+    co_return co_await this->RelayBody(std::move(answer));
+  }
+  http::response_serializer<http::buffer_body> serializer(answer);
+  this->EndAnswer();
+  this->AwaitCaller();
+  const auto [error, bytes] = co_await http::async_write_header(
+      this->owner.Caller().Socket(), serializer, kAwait);
+  this->FinishRelay(!error);
+  co_return this->success;
+}
+
+net::awaitable<AttemptResult> ProxyAttempt::RelayBody(
+    http::response<http::buffer_body> answer) {
+  http::response_serializer<http::buffer_body> serializer(answer);
+  std::vector<char> space(kRelayBytes);
+  BodyPiece piece = ParseBufferedBody<false>(this->connection->buffer,
+                                             *this->parser, net::buffer(space));
+  for (;;) {
+    if (piece.error && piece.error != http::error::need_more) {
+      co_return this->Failed(AttemptResult::kTruncated);
+    }
+    const bool done = this->parser->is_done();
+    if (done) {
+      this->EndAnswer();
+    }
+    answer.body().data = piece.bytes > 0 ? space.data() : nullptr;
+    answer.body().size = piece.bytes;
+    answer.body().more = !done;
+    this->AwaitCaller();
+    const auto [error, bytes] = co_await http::async_write(
+        this->owner.Caller().Socket(), serializer, kAwait);
+    this->owner.ExpectCaller(false);
+    if (done || (error && error != http::error::need_buffer)) {
+      this->FinishRelay(!error || error == http::error::need_buffer);
+      co_return this->success;
+    }
+    this->Progress();
+    piece = co_await ReadBodyPiece<false>(this->connection->socket,
+                                          this->connection->buffer,
+                                          *this->parser, net::buffer(space));
+  }
+}
+
+// The backend server's part is over: its slot and connection are free before
+// the caller has read the last bytes.
+void ProxyAttempt::EndAnswer() {
+  const bool whole_request = this->request_sent && !this->upload_failed;
+  const bool reusable = whole_request && !this->parser->need_eof() &&
+                        this->parser->get().keep_alive() &&
+                        this->connection->buffer.size() == 0;
+  this->Release(reusable && !this->uploading);
+  this->due = TimePoint::max();
+  this->ReportEnd(this->success);
+}
+
+void ProxyAttempt::FinishRelay(bool whole) {
+  this->relayed_whole = whole;
+  if (!whole) {
+    this->success = AttemptResult::kCancelled;
+    this->owner.OnCallerFailed(BodyError::kClosed);
+  }
+}
+
+void ProxyAttempt::ReportEnd(AttemptResult result) {
+  if (this->reported) {
+    return;
+  }
+  this->reported = true;
+  this->due = TimePoint::max();
+  if (this->uploading) {
+    this->owner.Caller().CancelReads();
+  }
+  const bool ran_nothing =
+      result == AttemptResult::kNotSent || result == AttemptResult::kRefused;
+  if (!ran_nothing && this->sent_bytes) {
+    this->exchange.outcome_unknown = true;
+  }
+  if (!this->cancelled) {
+    this->owner.OnAttemptEnd(*this, result);
+  }
+  this->WriteSpan(result);
+}
+
+void ProxyAttempt::WriteSpan(AttemptResult result) {
+  if (!this->context.spans.IsOn()) {
+    return;
+  }
+  Span span{"attempt", this->trace, this->exchange.trace.span, {}, {}, {}};
+  span.duration = this->context.clock.Now() - this->began;
+  span.start = this->context.clock.Unix() -
+               std::chrono::duration_cast<UnixTime>(span.duration);
+  span.tags = {{"backend_server", this->start.backend.Value()},
+               {"request", this->request_id},
+               {"result", std::string(AttemptResultName(result))}};
+  this->context.spans.Write(span);
+}
+
+// Keeps the connection for another request, or closes it.
+void ProxyAttempt::Release(bool reusable) {
+  if (!std::exchange(this->checked_out, false)) {
+    return;
+  }
+  if (reusable && this->connection && !this->cancelled && !this->timed_out) {
+    this->context.pool.CheckIn(this->start.backend, std::move(this->connection),
+                               this->context.clock.Now());
+    return;
+  }
+  if (this->connection) {
+    boost::system::error_code ignored;
+    this->connection->socket.close(ignored);
+  }
+  this->context.pool.Drop(this->start.backend);
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/proxy_session.cc
@@ -0,0 +1,412 @@
+#include "src/proxy_session.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <boost/json.hpp>
+#include <utility>
+
+#include "src/log_event.h"
+#include "src/query_string.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+constexpr std::string_view kOwnPaths = "/.acacia/";
+constexpr std::string_view kLookupPath = "/.acacia/lookup";
+constexpr std::uint32_t kMinConnections = 2;
+// How long a closing connection still takes what the caller sends, so that the
+// answer is not destroyed by a reset.
+constexpr Duration kLingerTime = std::chrono::seconds(2);
+constexpr std::size_t kLingerBytes = 1024 * 1024;
+constexpr std::size_t kDiscardBytes = 16 * 1024;
+constexpr int kHttp10 = 10;
+constexpr int kNotFound = 404;
+
+// Counts a request from its head to the end of its answer.
+class ActiveRequest {
+ public:
+  explicit ActiveRequest(std::atomic<std::uint32_t>& count) : count(count) {
+    ++this->count;
+  }
+  ~ActiveRequest() { --this->count; }
+  ActiveRequest(const ActiveRequest&) = delete;
+  ActiveRequest& operator=(const ActiveRequest&) = delete;
+
+ private:
+  std::atomic<std::uint32_t>& count;
+};
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+// This entry's share of the connections that a backend server takes.
+std::uint32_t ConnectionShare(const EntrySnapshot& snapshot,
+                              const ServicePolicy& policy) {
+  const auto alive =
+      std::count_if(snapshot.members.begin(), snapshot.members.end(),
+                    [](const EntryMember& member) { return member.alive; });
+  const auto share = policy.max_connections_per_backend_server /
+                     static_cast<std::uint32_t>(std::max<long>(alive, 1));
+  return std::max(kMinConnections, share);
+}
+
+}  // namespace
+
+ProxySession::ProxySession(EntryContext& context,
+                           net::ip::tcp::socket socket,
+                           const SessionStrand& strand)
+    : context(context),
+      strand(strand),
+      caller(std::move(socket), strand, context.settings.max_header_bytes),
+      signal(strand),
+      watchdog(strand) {
+  ++this->context.connections;
+}
+
+ProxySession::~ProxySession() {
+  --this->context.connections;
+}
+
+void ProxySession::Start() {
+  net::co_spawn(
+      this->strand, this->Run(),
+      [self = this->shared_from_this()](const std::exception_ptr& error) {
+        if (error) {
+          LogEvent("session_failed", LogSeverity::kError)
+              .With("service", self->service_name);
+        }
+        self->caller.Close();
+      });
+}
+
+void ProxySession::CloseIfIdle() {
+  net::post(this->strand, [weak = this->weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->caller.IsQuiet()) {
+      self->caller.Close();
+    }
+  });
+}
+
+net::awaitable<void> ProxySession::Run() {
+  bool more = true;
+  while (more) {
+    more = co_await this->ServeOne();
+  }
+}
+
+net::awaitable<bool> ProxySession::ServeOne() {
+  this->exchange.reset();
+  this->service.reset();
+  this->relaying.reset();
+  this->refusal.reset();
+  this->caller_failed.reset();
+  this->service_name = ServiceName();
+  this->metrics = &this->context.metrics.Of(ServiceName());
+  this->ExpectCaller(true);
+  const auto head = co_await this->caller.ReadHead();
+  this->ExpectCaller(false);
+  if (!head && head.error() == HeadError::kClosed) {
+    co_return false;
+  }
+  const ActiveRequest active(this->context.active_requests);
+  this->began = this->context.clock.Now();
+  if (!head) {
+    co_return co_await this->Refuse(head.error() == HeadError::kTooLarge
+                                        ? ErrorKind::kHeaderTooLarge
+                                        : ErrorKind::kBadRequest);
+  }
+  co_return co_await this->AnswerRequest();
+}
+
+net::awaitable<bool> ProxySession::AnswerRequest() {
+  const auto& head = this->caller.Head();
+  if (const auto error = CheckRequestHead(head)) {
+    this->caller.Distrust();
+    co_return co_await this->Refuse(*error);
+  }
+  const auto options = ReadCallerOptions(head);
+  if (!options) {
+    co_return co_await this->Refuse(options.error());
+  }
+  if (std::string_view(head.target()).starts_with(kOwnPaths)) {
+    co_return co_await this->AnswerLookup();
+  }
+  const auto snapshot = this->context.snapshot.Get();
+  if (!snapshot->IsReady()) {
+    co_return co_await this->Refuse(ErrorKind::kNotReady);
+  }
+  const auto route = snapshot->router->Find(
+      head[http::field::host], PathOf(head.target()), head.method_string());
+  if (!route) {
+    co_return co_await this->Refuse(route.error());
+  }
+  co_return co_await this->ProxyTo(snapshot, **route, *options);
+}
+
+net::awaitable<bool> ProxySession::AnswerLookup() {
+  const auto target = ParseTarget(this->caller.Head().target());
+  const auto snapshot = this->context.snapshot.Get();
+  if (!target || target->path != kLookupPath) {
+    co_return co_await this->Refuse(ErrorKind::kNoRoute);
+  }
+  if (this->caller.Head().method() != http::verb::get) {
+    co_return co_await this->Refuse(ErrorKind::kMethodNotAllowed);
+  }
+  if (!snapshot->IsReady()) {
+    co_return co_await this->Refuse(ErrorKind::kNotReady);
+  }
+  const ServiceName name(target->Parameter("service"));
+  const auto subset = snapshot->subsets.find(name);
+  if (subset == snapshot->subsets.end()) {
+    boost::json::object body{{"error", "no_service"},
+                             {"service", name.Value()}};
+    co_return co_await this->WriteReply(
+        BuildJsonAnswer(kNotFound, boost::json::serialize(body) + "\n"));
+  }
+  const auto lifetime =
+      std::chrono::milliseconds(this->context.settings.answer_lifetime_ms);
+  const LookupAnswer answer = BuildLookupAnswer(name, subset->second, lifetime);
+  constexpr int kOk = 200;
+  co_return co_await this->WriteReply(BuildJsonAnswer(kOk, LookupJson(answer)));
+}
+
+net::awaitable<bool> ProxySession::ProxyTo(
+    std::shared_ptr<const EntrySnapshot> snapshot,
+    const Route& route,
+    CallerOptions options) {
+  this->service_name = route.service;
+  this->metrics = &this->context.metrics.Of(route.service);
+  this->service = this->context.services.Find(route.service);
+  if (!this->service) {
+    co_return co_await this->Refuse(ErrorKind::kNotReady);
+  }
+  if (this->caller.ContentLength() > route.max_body_bytes) {
+    co_return co_await this->Refuse(ErrorKind::kBodyTooLarge);
+  }
+  this->PrepareExchange(*snapshot, route, options);
+  // A caller that waits for "100 Continue" hears of a refusal before it sends
+  // its body.
+  if (!options.expects_continue) {
+    if (const auto error = co_await this->BufferBody()) {
+      co_return co_await this->Refuse(*error);
+    }
+  }
+  if (this->caller_failed) {
+    co_return false;
+  }
+  if (route.claim_keys && !options.key.empty()) {
+    if (const auto error = co_await this->ClaimKey(options.key)) {
+      co_return co_await this->Refuse(*error);
+    }
+  }
+  co_return co_await this->Dispatch();
+}
+
+void ProxySession::PrepareExchange(const EntrySnapshot& snapshot,
+                                   const Route& route,
+                                   const CallerOptions& options) {
+  const auto& head = this->caller.Head();
+  Exchange& prepared = this->exchange.emplace();
+  prepared.id = this->context.NextRequest();
+  const Duration allowed =
+      std::min(route.deadline, options.deadline.value_or(route.deadline));
+  prepared.work.request = prepared.id;
+  prepared.work.work_class = route.work_class;
+  prepared.work.account = options.account;
+  prepared.work.idempotent = IsIdempotent(route, head.method_string(), options);
+  prepared.work.deadline = this->began + allowed;
+  prepared.policy = snapshot.views.at(route.service).policy;
+  prepared.max_connections = ConnectionShare(snapshot, prepared.policy);
+  prepared.max_body_bytes = route.max_body_bytes;
+  prepared.is_head_request = head.method() == http::verb::head;
+  prepared.caller_is_http10 = head.version() == kHttp10;
+  prepared.keep_alive = this->caller.WantsKeepAlive();
+  prepared.must_continue = options.expects_continue;
+  prepared.is_chunked = this->caller.HasChunkedBody();
+  prepared.has_body =
+      prepared.is_chunked || head.count(http::field::content_length) > 0;
+  prepared.body_read = this->caller.IsBodyDone();
+  this->PrepareHead();
+}
+
+// What every attempt sends; the rest is the attempt's (see BuildHead there).
+void ProxySession::PrepareHead() {
+  Exchange& prepared = *this->exchange;
+  prepared.head = this->caller.Head();
+  http::request_header<>& head = prepared.head;
+  StripHopByHop(head);
+  head.erase(http::field::expect);
+  head.erase(kRequestIdHeader);
+  head.version(11);
+  head.insert(http::field::via, "1.1 " + this->context.settings.instance);
+  if (prepared.is_chunked) {
+    head.set(http::field::transfer_encoding, "chunked");
+  }
+  const auto parent = ParseTraceparent(head[kTraceHeader]);
+  if (parent) {
+    this->parent_span = parent->span;
+    prepared.trace = this->context.NewChild(*parent);
+  } else if (this->context.spans.IsOn()) {
+    this->parent_span = 0;
+    prepared.trace = this->context.NewTrace();
+  }
+}
+
+// Reads as much of the body as can be sent again. Small requests so need no
+// slot while a slow caller sends them, and can be retried.
+net::awaitable<std::optional<ErrorKind>> ProxySession::BufferBody() {
+  Exchange& request = *this->exchange;
+  std::vector<char> space;
+  while (!request.body_read && request.prefix.size() < kReplayableBodyBytes) {
+    space.resize(
+        std::min(kDiscardBytes, kReplayableBodyBytes - request.prefix.size()));
+    this->ExpectCaller(true);
+    const auto read = co_await this->caller.ReadBody(net::buffer(space));
+    this->ExpectCaller(false);
+    if (!read) {
+      if (read.error() == BodyError::kMalformed) {
+        this->caller.Distrust();
+        co_return ErrorKind::kBadRequest;
+      }
+      this->caller_failed = read.error();
+      co_return std::nullopt;
+    }
+    if (!request.Keep({space.data(), *read}, this->caller.IsBodyDone())) {
+      this->caller.Distrust();
+      co_return ErrorKind::kBodyTooLarge;
+    }
+  }
+  if (request.body_read && request.is_chunked) {
+    // Its length is known now.
+    request.is_chunked = false;
+    request.head.erase(http::field::transfer_encoding);
+  }
+  co_return std::nullopt;
+}
+
+net::awaitable<std::optional<ErrorKind>> ProxySession::ClaimKey(
+    std::string key) {
+  auto reply = std::make_shared<std::optional<schema::KeyClaimReplyT>>();
+  schema::KeyClaimT claim;
+  claim.request = this->exchange->id.Value();
+  claim.service = this->service_name.Value();
+  claim.account = this->exchange->work.account.Value();
+  claim.key = std::move(key);
+  KeyClaimDone done = [reply, self = this->shared_from_this()](
+                          const schema::KeyClaimReplyT& result) {
+    net::post(self->strand, [reply, self, result] {
+      *reply = result;
+      self->Signal();
+    });
+  };
+  this->context.claim_key(std::move(claim), std::move(done));
+  while (!*reply) {
+    co_await this->WaitForSignal();
+  }
+  if (!(*reply)->known) {
+    co_return ErrorKind::kKeyUnverifiable;
+  }
+  if (!(*reply)->granted) {
+    co_return ErrorKind::kDuplicateKey;
+  }
+  co_return std::nullopt;
+}
+
+// Writes an error. The connection is kept only when the rest of the request is
+// small and well-formed.
+net::awaitable<bool> ProxySession::Refuse(ErrorKind kind) {
+  this->LogRefusal(kind);
+  this->metrics->errors[static_cast<std::size_t>(kind)]->Increment();
+  this->WriteSpan(AnswerFor(kind).name);
+  co_return co_await this->WriteReply(BuildErrorAnswer(kind));
+}
+
+net::awaitable<bool> ProxySession::WriteReply(StringResponse reply) {
+  const bool keep = !this->MustClose() && co_await this->DiscardBody();
+  reply.keep_alive(keep);
+  if (this->caller.IsTrusted() &&
+      this->caller.Head().method() == http::verb::head) {
+    reply.body().clear();
+  }
+  this->ExpectCaller(true);
+  const auto [error, bytes] =
+      co_await http::async_write(this->caller.Socket(), reply, kAwait);
+  this->ExpectCaller(false);
+  if (!error && !keep) {
+    co_await this->CloseGracefully();
+  }
+  co_return !error && keep;
+}
+
+// True when the connection can carry another request.
+net::awaitable<bool> ProxySession::DiscardBody() {
+  if (!this->caller.IsTrusted() || !this->caller.WantsKeepAlive()) {
+    co_return false;
+  }
+  if (this->caller.IsBodyDone()) {
+    co_return true;
+  }
+  const bool large = this->caller.ContentLength() > kReplayableBodyBytes;
+  if (large || this->caller.HasChunkedBody() ||
+      this->caller.Head().count(http::field::expect) > 0) {
+    co_return false;
+  }
+  std::vector<char> space(kDiscardBytes);
+  this->ExpectCaller(true);
+  while (!this->caller.IsBodyDone()) {
+    if (!co_await this->caller.ReadBody(net::buffer(space))) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+net::awaitable<void> ProxySession::CloseGracefully() {
+  boost::system::error_code error;
+  this->caller.Socket().shutdown(net::ip::tcp::socket::shutdown_send, error);
+  this->caller_due = this->context.clock.Now() + kLingerTime;
+  this->GuardDeadlines();
+  std::vector<char> space(kDiscardBytes);
+  std::size_t total = 0;
+  while (!error && total < kLingerBytes) {
+    const auto [read_error, bytes] =
+        co_await this->caller.Socket().async_read_some(net::buffer(space),
+                                                       kAwait);
+    error = read_error;
+    total += bytes;
+  }
+}
+
+void ProxySession::LogRefusal(ErrorKind kind) {
+  const ErrorAnswer& answer = AnswerFor(kind);
+  if (answer.outcome == Outcome::kNotRun) {
+    return;
+  }
+  LogEvent("request_failed", LogSeverity::kWarning)
+      .With("service", this->service_name)
+      .With("request", this->exchange ? this->exchange->id : RequestId())
+      .With("error", answer.name);
+}
+
+void ProxySession::WriteSpan(std::string_view result) {
+  if (!this->context.spans.IsOn() || !this->exchange) {
+    return;
+  }
+  Span span{"request", this->exchange->trace, this->parent_span, {}, {}, {}};
+  span.duration = this->context.clock.Now() - this->began;
+  span.start = this->context.clock.Unix() -
+               std::chrono::duration_cast<UnixTime>(span.duration);
+  span.tags = {{"service", this->service_name.Value()},
+               {"instance", this->context.settings.instance},
+               {"result", std::string(result)}};
+  this->context.spans.Write(span);
+}
+
+}  // namespace acacia
