Fuzz the agents together against an oracle

Random scripts of racing applies, outages, slow and lost replies, one-way cuts, pauses, replacements, sick and leaving backend servers and stop plans run on six agents over one fake platform. The oracle sees only accepted rows, what entries were told and who was told to stop. Each of its promises is shown to bite: a deliberate fault per promise is caught by a script that passes without the fault.

--- /dev/null
+++ b/test/fuzz/coordination_state_test.cc
@@ -0,0 +1,151 @@
+// Random scripts of faults and operators' doings on several agents together,
+// judged by the oracle; and deliberate faults that the oracle must catch.
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "test/fuzz/coordination_script.h"
+
+namespace rc {
+
+template <>
+struct Arbitrary<acacia::Step> {
+  static Gen<acacia::Step> arbitrary() {
+    using acacia::Operation;
+    const auto operation =
+        gen::weightedElement<Operation>({{2, Operation::kApply},
+                                         {2, Operation::kRace},
+                                         {1, Operation::kOutage},
+                                         {1, Operation::kSlow},
+                                         {2, Operation::kLoseReplies},
+                                         {2, Operation::kCut},
+                                         {1, Operation::kCutPlatform},
+                                         {4, Operation::kHeal},
+                                         {2, Operation::kPause},
+                                         {3, Operation::kResume},
+                                         {2, Operation::kReplace},
+                                         {6, Operation::kSick},
+                                         {1, Operation::kLeave},
+                                         {20, Operation::kAdvance}});
+    const auto number =
+        gen::resize(kNominalSize, gen::inRange<std::uint32_t>(0, 1000));
+    return gen::build<acacia::Step>(
+        gen::set(&acacia::Step::operation, operation),
+        gen::set(&acacia::Step::a, number), gen::set(&acacia::Step::b, number));
+  }
+};
+
+}  // namespace rc
+
+namespace acacia {
+namespace {
+
+// RapidCheck takes its parameters from here; those from outside go first.
+const int kParametersAreSet =
+    setenv("RC_PARAMS", "seed=20261204 max_success=25 max_size=60", 0);
+
+std::optional<std::string> Violation(const Script& script, Fault fault) {
+  CoordinationRun run(script.size(), fault);
+  try {
+    run.Run(script);
+  } catch (const OracleViolation& violation) {
+    return violation.what();
+  }
+  return std::nullopt;
+}
+
+TEST_CASE("whatever happens, the coordination keeps its promises") {
+  std::size_t most_ejected = 0;
+  std::size_t most_stopping = 0;
+  std::size_t most_accepted = 0;
+  const bool held = rc::check([&] {
+    const auto script = *rc::gen::arbitrary<Script>();
+    CoordinationRun run(script.size(), Fault::kNone);
+    run.Run(script);
+    most_ejected = std::max(most_ejected, run.Seen().most_ejected);
+    most_stopping = std::max(most_stopping, run.Seen().most_stopping);
+    most_accepted = std::max(most_accepted, run.Seen().Accepted());
+  });
+  CHECK(held);
+  // The scripts did exercise what the oracle judges.
+  CHECK(most_ejected >= 2);
+  CHECK(most_stopping >= 1);
+  CHECK(most_accepted >= 5);
+}
+
+struct Bite {
+  Fault fault;
+  std::string violation;
+  Script script;
+};
+
+Step Advance(std::uint32_t seconds) {
+  return {Operation::kAdvance, seconds - 1, 0};
+}
+
+// n5 hears of nothing any more, neither from peers nor from the platform.
+Script IsolateLast() {
+  Script script = {{Operation::kCutPlatform, 5, 0}};
+  for (std::uint32_t from = 0; from < 5; ++from) {
+    script.push_back({Operation::kCut, from, 5});
+  }
+  return script;
+}
+
+// b0 is ejected and returns; b1 falls sick while the floor lets only one out.
+Script EjectOneAfterTheOther(const Script& between) {
+  Script script = {{Operation::kApply, 2, 0},
+                   Advance(20),
+                   {Operation::kSick, 0, 0},
+                   Advance(20)};
+  script.insert(script.end(), between.begin(), between.end());
+  script.push_back({Operation::kSick, 0, 1});
+  script.push_back({Operation::kSick, 1, 0});
+  for (int minute = 0; minute < 15; ++minute) {
+    script.push_back(Advance(60));
+  }
+  return script;
+}
+
+TEST_CASE("each promise is guarded: a deliberate fault is caught") {
+  const std::vector<Bite> bites = {
+      {Fault::kNoCompareAndSet,
+       "accepted generations",
+       {{Operation::kRace, 3, 0},
+        {Operation::kRace, 4, 0},
+        {Operation::kRace, 5, 0},
+        {Operation::kRace, 6, 0},
+        {Operation::kRace, 7, 0}}},
+      {Fault::kNoCompareAndSet,
+       "two holders share",
+       {{Operation::kSlow, 4, 0}, {Operation::kApply, 0, 1}, Advance(60)}},
+      {Fault::kEjectionsNeverLapse, "below the floor",
+       EjectOneAfterTheOther({{Operation::kPause, 5, 0}})},
+      {Fault::kForgetReturning, "below the floor",
+       EjectOneAfterTheOther(IsolateLast())},
+      {Fault::kOldGeneration,
+       "went back",
+       {{Operation::kApply, 0, 0},
+        Advance(20),
+        {Operation::kReplace, 2, 0},
+        Advance(20)}},
+      {Fault::kMarkAll,
+       "exceeds its limit",
+       {{Operation::kApply, 0, 1}, Advance(60)}},
+      {Fault::kAlwaysRefused, "was told was not", {{Operation::kApply, 0, 0}}},
+  };
+  for (const Bite& bite : bites) {
+    INFO(bite.violation);
+    CHECK_FALSE(Violation(bite.script, Fault::kNone).has_value());
+    const auto caught = Violation(bite.script, bite.fault);
+    REQUIRE(caught.has_value());
+    CHECK(caught->find(bite.violation) != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace acacia
