Give a configuration to the entry only once a peer has it too

An instance that was the first to hear of a generation gave it to its entry at once. If the platform then went out and the instance was replaced, its successor came up ready on the generation before: the entry at that instance reverted. The agent now waits until a peer has the generation, or no peer is alive, or 3 s have passed; a peer tells whoever told it as soon as it has it. The new test fails without the wait and passes with it.

--- a/src/agent_state.cc
+++ b/src/agent_state.cc
@@ -107,9 +107,10 @@
   this->discovery.SetNames({kEntryService}, now);
 }
 
-void AgentCore::State::PublishConfigurationNow() {
+void AgentCore::State::PublishConfigurationNow(TimePoint now) {
   const bool known = this->sync.IsReady() && this->sync.FileSet() != nullptr;
-  if (!known || this->sync.CurrentGeneration() < this->entry_generation) {
+  if (!known || this->sync.CurrentGeneration() < this->entry_generation ||
+      !this->sync.IsSpread(this->membership.HasLivePeers(), now)) {
     return;
   }
   this->configuration_published = true;
@@ -135,6 +136,10 @@
   this->tasks_stale = true;
   this->next_tasks = now;
   this->news = true;
+  // Whoever told of it learns that it is here too.
+  for (const PeerAddress& peer : this->sync.Sources()) {
+    this->SendMessage(peer, this->MakeMessage(peer, now));
+  }
 }
 
 std::vector<BackendServer> AgentCore::State::ServersOf(
@@ -305,8 +310,11 @@
 }
 
 void AgentCore::State::RunSync(TimePoint now) {
-  auto requests = this->sync.OnTick(this->membership.LivePeers(),
-                                    this->membership.KnownPeers(), now);
+  std::vector<PeerAddress> peers;
+  if (this->sync.IsFetching()) {
+    peers = this->membership.LivePeers();
+  }
+  auto requests = this->sync.OnTick(peers, this->membership.KnownPeers(), now);
   for (auto& action : requests.actions) {
     this->out.push_back(std::move(action));
   }
@@ -448,7 +456,7 @@
     return;
   }
   if (!this->configuration_published) {
-    this->PublishConfigurationNow();
+    this->PublishConfigurationNow(now);
   }
   this->PublishFleetWhenDue(now);
 }
--- a/src/agent_state.h
+++ b/src/agent_state.h
@@ -83,7 +83,7 @@
   void AnswerMemberSync(const PeerAddress& from, TimePoint now);
 
   // The entry (agent_state.cc).
-  void PublishConfigurationNow();
+  void PublishConfigurationNow(TimePoint now);
   void PublishFleetNow(TimePoint now);
   void PublishFleetWhenDue(TimePoint now);
   std::shared_ptr<schema::FleetUpdateT> BuildFleetUpdate(TimePoint now) const;
--- a/src/config_sync.cc
+++ b/src/config_sync.cc
@@ -18,6 +18,7 @@
 constexpr Duration kFirstBackoff = std::chrono::seconds(1);
 constexpr Duration kFetchTimeout = std::chrono::seconds(1);
 constexpr Duration kMaxFetchBackoff = std::chrono::seconds(8);
+constexpr Duration kSpreadPatience = std::chrono::seconds(3);
 constexpr std::size_t kParallelFetches = 16;
 // Enough peers to trust their newest generation when the platform is out.
 constexpr std::size_t kEnoughPeers = 3;
@@ -102,6 +103,7 @@
                             const schema::ConfigurationHeadT& head,
                             TimePoint now) {
   this->heard_from.insert(peer);
+  this->newest_at_peers = std::max(this->newest_at_peers, head.generation);
   this->AdoptTarget(head, now);
   const bool is_target = head.generation == this->target.generation &&
                          head.manifest_hash == this->target.manifest_hash;
@@ -148,11 +150,12 @@
     this->Want(hash, now);
   }
   if (this->fetches.empty()) {
-    this->PutInForce(*manifest);
+    this->PutInForce(*manifest, now);
   }
 }
 
-void ConfigSync::PutInForce(const std::vector<ObjectHash>& manifest) {
+void ConfigSync::PutInForce(const std::vector<ObjectHash>& manifest,
+                            TimePoint now) {
   auto joined = JoinChunks(manifest, this->objects);
   if (!joined) {
     LogEvent("configuration_unreadable", LogSeverity::kError)
@@ -161,6 +164,7 @@
   }
   this->file_set = std::make_shared<const schema::FileSetT>(std::move(*joined));
   this->current = this->target;
+  this->in_force_since = now;
   this->changed = true;
   std::set<ObjectHash> used(manifest.begin(), manifest.end());
   used.insert(ObjectHash(this->current.manifest_hash));
@@ -258,6 +262,11 @@
   this->ready = this->last_platform_answer.has_value() || peers_agree;
 }
 
+bool ConfigSync::IsSpread(bool has_peers, TimePoint now) const {
+  return !has_peers || this->newest_at_peers >= this->current.generation ||
+         now - this->in_force_since >= kSpreadPatience;
+}
+
 bool ConfigSync::TakeChanged() {
   return std::exchange(this->changed, false);
 }
--- a/src/config_sync.h
+++ b/src/config_sync.h
@@ -37,6 +37,8 @@
   ConfigSync(RandomSource& random, OperationIds& operations, TimePoint now);
 
   // `peers` are live members; `known_peers` counts those that should exist.
+  // True when OnTick would ask peers for objects.
+  bool IsFetching() const { return !this->fetches.empty(); }
   Requests OnTick(const std::vector<PeerAddress>& peers,
                   std::size_t known_peers,
                   TimePoint now);
@@ -55,6 +57,12 @@
   // True once after each new generation came into force.
   bool TakeChanged();
   bool IsReady() const { return this->ready; }
+  // True when the entry may get the generation in force: a peer has it too, or
+  // none is there to take it, or spreading has failed for kSpreadPatience. A
+  // replacement of this instance then finds it even without the platform.
+  bool IsSpread(bool has_peers, TimePoint now) const;
+  // The peers that told of the generation that came into force last.
+  const std::vector<PeerAddress>& Sources() const { return this->sources; }
   Generation CurrentGeneration() const {
     return Generation(this->current.generation);
   }
@@ -84,7 +92,7 @@
   void Want(const ObjectHash& hash, TimePoint now);
   void Accept(const ObjectHash& hash, std::string body, TimePoint now);
   void Advance(TimePoint now);
-  void PutInForce(const std::vector<ObjectHash>& manifest);
+  void PutInForce(const std::vector<ObjectHash>& manifest, TimePoint now);
   void StartFetches(const std::vector<PeerAddress>& peers,
                     TimePoint now,
                     Requests& requests);
@@ -115,6 +123,8 @@
   bool platform_has_no_head = false;
 
   std::set<PeerAddress> heard_from;
+  std::uint64_t newest_at_peers = 0;
+  TimePoint in_force_since;
   bool ready = false;
   bool changed = false;
   std::uint64_t corrupt_objects = 0;
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -400,14 +400,23 @@
   return peers;
 }
 
+bool Membership::HasLivePeers() const {
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [](const auto& entry) { return IsLive(entry.second); });
+}
+
 std::vector<PeerAddress> Membership::RandomPeers(std::size_t count) {
-  auto peers = this->LivePeers();
-  const std::size_t chosen = std::min(count, peers.size());
-  for (std::size_t i = 0; i < chosen; ++i) {
-    const auto other = i + this->random.Below(peers.size() - i);
-    std::swap(peers[i], peers[other]);
+  std::vector<const Member*> live;
+  for (const auto& [id, member] : this->members) {
+    if (IsLive(member)) {
+      live.push_back(&member);
+    }
+  }
+  std::vector<PeerAddress> peers;
+  for (std::size_t i = 0; i < std::min(count, live.size()); ++i) {
+    std::swap(live[i], live[i + this->random.Below(live.size() - i)]);
+    peers.emplace_back(live[i]->info.peer_address);
   }
-  peers.resize(chosen);
   return peers;
 }
 
--- a/src/membership.h
+++ b/src/membership.h
@@ -83,6 +83,7 @@
   const std::map<InstanceId, Member>& Others() const { return this->members; }
   // Instances that are neither suspect nor dead.
   std::vector<PeerAddress> LivePeers() const;
+  bool HasLivePeers() const;
   // Up to `count` distinct live peers.
   std::vector<PeerAddress> RandomPeers(std::size_t count);
   // How many peers there should be, by everything that was heard or set.
--- a/test/correctness/config_sync_test.cc
+++ b/test/correctness/config_sync_test.cc
@@ -72,5 +72,31 @@
   CHECK(node.generations.empty());
 }
 
+TEST_CASE(
+    "what an entry has is at a peer too, for a replacement in an outage") {
+  FakeFleet fleet(6);
+  ApplyNext(fleet, "w1");
+  fleet.StartMany(5);
+  REQUIRE(
+      fleet.RunUntil(seconds(15), [&] { return fleet.AllAt(Generation(1)); }));
+  fleet.Run(seconds(10));
+  ApplyNext(fleet, "w2");
+  // The first agent that knows it is the first that might tell its entry.
+  std::string first;
+  for (int step = 0; step < 1000 && first.empty(); ++step) {
+    fleet.Run(std::chrono::milliseconds(20));
+    for (const auto& [name, node] : fleet.nodes) {
+      if (node.generations.back() == Generation(2)) {
+        first = name;
+      }
+    }
+  }
+  REQUIRE_FALSE(first.empty());
+  fleet.platform.outage = true;
+  FakeNode& replaced = fleet.Start(first);
+  fleet.Run(seconds(20));
+  CHECK(replaced.generations == std::vector{Generation(2)});
+}
+
 }  // namespace
 }  // namespace acacia
