Ask the fleet about a backend server only when the bad evidence would do

A lone failure raised a question; many questions at once crowded each other out of messages, and two bad reporters without an answer from the others sufficed. And good evidence was rounded up and stayed in the window twice as long as bad evidence. Questions are now raised by the proposer when the bad evidence alone would do, and both kinds are rounded alike.

--- a/src/evidence_pool.cc
+++ b/src/evidence_pool.cc
@@ -17,6 +17,8 @@
 // How long answers to a question may take to come in.
 constexpr Duration kAnswerTime = std::chrono::milliseconds(2500);
 constexpr double kMinPooledBad = 4;
+// Share of the reporters, and of the attempts, that must be bad.
+constexpr double kMinBadShare = 0.4;
 // An entry that avoids a backend server stands for at least this much.
 constexpr double kAvoidedWeight = 2;
 constexpr double kMinAvoidedBad = 0.1;
@@ -56,7 +58,9 @@
     const Shared share{domain, static_cast<double>(item->attempts),
                        static_cast<double>(item->failures), item->avoided, now};
     this->shared[key][reporter] = share;
-    if (share.avoided || IsBad(share.attempts, share.bad, false)) {
+    const Totals totals = this->Sum(key, now);
+    if (totals.bad_reporters >= kMinBadReporters &&
+        totals.bad >= kMinPooledBad) {
       const bool added = this->questions.emplace(key, now).second;
       this->new_question |= added;
     }
@@ -116,8 +120,8 @@
   for (const auto& [key, window] : this->windows) {
     const bool bad = IsBad(window.attempts, window.bad, window.avoided);
     const bool asked = this->questions.count(key) != 0;
-    const auto attempts = static_cast<std::uint32_t>(
-        std::ceil(std::max(0.0, window.attempts - 0.2)));
+    const auto attempts =
+        static_cast<std::uint32_t>(std::lround(window.attempts));
     if (!bad && (!asked || attempts == 0)) {
       continue;
     }
@@ -196,9 +200,11 @@
   }
   const Totals totals = this->Sum(key, now);
   return totals.bad_reporters >= kMinBadReporters &&
-         2 * totals.bad_reporters > totals.reporters &&
+         static_cast<double>(totals.bad_reporters) >=
+             kMinBadShare * static_cast<double>(totals.reporters) &&
          totals.bad_domains.size() >= std::min<std::size_t>(2, domains) &&
-         totals.bad >= kMinPooledBad && 2 * totals.bad >= totals.attempts;
+         totals.bad >= kMinPooledBad &&
+         totals.bad >= kMinBadShare * totals.attempts;
 }
 
 std::set<BackendId> EvidencePool::Sick(const ServiceName& service,
--- a/src/evidence_pool.h
+++ b/src/evidence_pool.h
@@ -3,8 +3,9 @@
 // nobody.
 //
 // Each agent keeps a short window of its own entry's evidence. Whoever sees bad
-// evidence sends it to the service's proposers; these ask the whole fleet about
-// that backend server, and everybody with evidence, good or bad, answers them.
+// evidence sends it to the service's proposers. When that alone would do for an
+// ejection, these ask the whole fleet about the backend server, and everybody
+// with evidence, good or bad, answers them.
 // Nothing is sent while nothing is suspected.
 #ifndef SRC_EVIDENCE_POOL_H_
 #define SRC_EVIDENCE_POOL_H_
