--- a/src/evidence_pool.cc
+++ b/src/evidence_pool.cc
@@ -11,6 +11,7 @@
 // Halves a window in 10 s.
 constexpr double kDecay = 0.933;
 constexpr Duration kWindowTime = std::chrono::seconds(60);
+constexpr double kMaxWindow = 5;
 constexpr Duration kShareInterval = std::chrono::seconds(1);
 constexpr Duration kShareFresh = std::chrono::seconds(4);
 constexpr Duration kQuestionTime = std::chrono::seconds(20);
@@ -40,6 +41,10 @@
     Window& window = this->windows[key];
     window.attempts += item->attempts;
     window.bad += std::min(item->attempts, item->failures + item->slow);
+    // Busy entries judge by their latest attempts.
+    const double scale = kMaxWindow / std::max(kMaxWindow, window.attempts);
+    window.attempts *= scale;
+    window.bad *= scale;
     window.avoided = item->avoided;
     window.updated = now;
   }
