--- a/test/fuzz/coordination_script.cc
+++ b/test/fuzz/coordination_script.cc
@@ -1,5 +1,7 @@
 #include "test/fuzz/coordination_script.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <array>
 #include <deque>
@@ -30,6 +32,7 @@
 
 CoordinationRun::CoordinationRun(std::uint64_t seed, Fault fault)
     : fault(fault), fleet(seed), oracle(kServers, kStopLimit) {
+  FLAGS_minloglevel = google::ERROR;
   this->fleet.platform.ignore_versions = fault == Fault::kNoCompareAndSet;
   this->fleet.platform.on_row_written = [this](const std::string& key,
                                                const Row& row) {
