--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -1,7 +1,6 @@
 #include "src/backend_pool.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 #include "src/home_assignment.h"
@@ -29,26 +28,8 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-// Share of the backend server's slots that this entry uses.
-double LoadOf(const PooledBackend& backend) {
-  return static_cast<double>(backend.InFlight()) / backend.server.slots;
-}
-
 }  // namespace
 
-std::uint32_t PooledBackend::InFlight() const {
-  return this->in_flight[0] + this->in_flight[1];
-}
-
-double PooledBackend::Weight(TimePoint now) const {
-  return this->health.Weight(now) * this->slow_start.Weight(now);
-}
-
-bool PooledBackend::IsInService() const {
-  return this->in_view && !this->ejected && !this->leaving &&
-         !this->said_leaving;
-}
-
 BackendPool::BackendPool(ServiceName service,
                          InstanceId self,
                          RandomSource& random)
@@ -228,7 +209,7 @@
   PooledBackend* best = nullptr;
   for (PooledBackend* backend : this->listed) {
     if (this->HasSlot(*backend, request, now) &&
-        (best == nullptr || LoadOf(*backend) < LoadOf(*best))) {
+        (best == nullptr || backend->Load() < best->Load())) {
       best = backend;
     }
   }
@@ -240,7 +221,7 @@
   PooledBackend* best = nullptr;
   for (PooledBackend* home : this->homes) {
     if (this->HasRoom(*home, request, now) && this->TakesTurn(*home, now) &&
-        (best == nullptr || LoadOf(*home) < LoadOf(*best))) {
+        (best == nullptr || home->Load() < best->Load())) {
       best = home;
     }
   }
@@ -260,7 +241,7 @@
       continue;
     }
     if (first != nullptr) {
-      return LoadOf(*candidate) < LoadOf(*first) ? candidate : first;
+      return candidate->Load() < first->Load() ? candidate : first;
     }
     first = candidate;
   }
@@ -421,76 +402,23 @@
   return next;
 }
 
-std::vector<schema::BackendEvidenceT> BackendPool::TakeEvidence(
-    TimePoint /*now*/) {
+std::vector<schema::BackendEvidenceT> BackendPool::TakeEvidence() {
   std::vector<schema::BackendEvidenceT> evidence;
   for (PooledBackend* backend : this->listed) {
-    schema::BackendEvidenceT item;
-    item.service = this->service.Value();
-    item.address = backend->server.id.Value();
-    item.attempts = backend->counts.attempts;
-    item.failures = backend->counts.failures;
-    item.slow = backend->counts.slow;
-    item.refused = backend->counts.refused;
-    item.median_latency_us = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            backend->health.latencies[IndexOf(WorkClass::kShort)].Median())
-            .count());
-    item.avoided = backend->health.IsAvoided();
-    item.leaving = backend->said_leaving;
-    item.in_flight = backend->InFlight();
-    backend->counts = {};
+    schema::BackendEvidenceT item = backend->TakeEvidence();
     if (item.attempts + item.failures + item.refused + item.in_flight > 0 ||
         item.leaving || item.avoided) {
+      item.service = this->service.Value();
       evidence.push_back(std::move(item));
     }
   }
   return evidence;
 }
 
-std::string BackendPool::Describe(const PooledBackend& backend,
-                                  TimePoint now) const {
-  if (backend.ejected) {
-    return "ejected by the fleet";
-  }
-  if (backend.leaving || backend.said_leaving) {
-    return backend.leaving ? "leaving" : "leaving, by its own word";
-  }
-  std::ostringstream text;
-  switch (backend.health.State(now)) {
-    case BackendHealth::Condition::kAvoided:
-      text << "avoided for " << backend.health.Reason() << ", relapses "
-           << backend.health.Relapses();
-      break;
-    case BackendHealth::Condition::kReturning:
-      text << "returning at weight " << backend.health.Weight(now);
-      break;
-    case BackendHealth::Condition::kHealthy:
-      text << (backend.slow_start.Weight(now) < 1 ? "warming up"
-                                                  : "in service");
-  }
-  if (backend.limit.ClosedUntil() > now) {
-    text << ", refused work just now";
-  }
-  return text.str();
-}
-
 std::vector<std::string> BackendPool::Explain(TimePoint now) const {
   std::vector<std::string> lines;
   for (const PooledBackend* backend : this->listed) {
-    const LatencyWindow& window =
-        backend->health.latencies[IndexOf(WorkClass::kShort)];
-    const auto median =
-        std::chrono::duration_cast<std::chrono::milliseconds>(window.Median());
-    std::ostringstream line;
-    line << backend->server.id.Value() << " " << this->Describe(*backend, now)
-         << "; in flight " << backend->InFlight() << " of limit "
-         << backend->limit.Limit() << ", slots " << backend->server.slots
-         << ", median latency " << median.count() << " ms, bad outcomes "
-         << static_cast<int>(100 * backend->health.Badness()) << "%"
-         << (backend->home ? ", home" : "")
-         << (backend->long_host ? ", takes long work" : "");
-    lines.push_back(line.str());
+    lines.push_back(backend->Explain(now));
   }
   return lines;
 }
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -8,7 +8,6 @@
 #ifndef SRC_BACKEND_POOL_H_
 #define SRC_BACKEND_POOL_H_
 
-#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -17,49 +16,14 @@
 #include <vector>
 
 #include "src/clock.h"
-#include "src/concurrency_limit.h"
 #include "src/dispatcher.h"
 #include "src/ids.h"
+#include "src/pooled_backend.h"
 #include "src/random_source.h"
 #include "src/service_health.h"
-#include "src/slow_start.h"
 
 namespace acacia {
 
-// Counts since the last evidence was taken.
-struct EvidenceCounts {
-  std::uint32_t attempts = 0;
-  std::uint32_t failures = 0;
-  std::uint32_t slow = 0;
-  std::uint32_t refused = 0;
-};
-
-struct PooledBackend {
-  BackendServer server;
-  bool in_view = false;
-  bool ejected = false;
-  // By the view, and by its own word.
-  bool leaving = false;
-  bool said_leaving = false;
-  // The view has confirmed that it is leaving.
-  bool leaving_confirmed = false;
-  TimePoint said_leaving_at{};
-  bool home = false;
-  bool long_host = false;
-  std::array<std::uint32_t, kWorkClassCount> in_flight{};
-  // Attempts in flight that have taken longer than SlowAfter.
-  std::uint32_t overdue = 0;
-  ConcurrencyLimit limit;
-  SlowStart slow_start;
-  BackendHealth health;
-  EvidenceCounts counts;
-
-  std::uint32_t InFlight() const;
-  bool IsInService() const;
-  // Share of its usual requests that it should get now.
-  double Weight(TimePoint now) const;
-};
-
 // How an attempt went, as far as its backend server is concerned.
 struct AttemptOutcome {
   WorkClass work_class = WorkClass::kShort;
@@ -106,7 +70,7 @@
   // When a backend server that is closed for the moment opens again.
   std::optional<TimePoint> NextOpening(TimePoint now) const;
 
-  std::vector<schema::BackendEvidenceT> TakeEvidence(TimePoint now);
+  std::vector<schema::BackendEvidenceT> TakeEvidence();
   std::vector<std::string> Explain(TimePoint now) const;
 
  private:
@@ -136,7 +100,6 @@
   void AddEvidence(PooledBackend& backend,
                    const AttemptEvidence& evidence,
                    TimePoint now);
-  std::string Describe(const PooledBackend& backend, TimePoint now) const;
 
   ServiceName service;
   InstanceId self;
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -9,6 +9,7 @@
 #include "src/admission_queue.h"
 #include "src/backend_pool.h"
 #include "src/check.h"
+#include "src/request_state.h"
 #include "src/retry_budget.h"
 
 namespace acacia {
@@ -24,52 +25,6 @@
 // While requests wait, room is looked for at least this often.
 constexpr Duration kQueuePoll = std::chrono::milliseconds(20);
 
-struct RunningAttempt {
-  AttemptId id;
-  PooledBackend* backend = nullptr;
-  TimePoint started;
-  // When it counts as overdue; nothing when that is unknown, or past.
-  std::optional<TimePoint> overdue_at;
-  bool was_overdue = false;
-};
-
-struct RequestState {
-  Work work;
-  bool account_limited = false;
-  AttemptId last_attempt;
-  std::vector<RunningAttempt> running;
-  // The attempt whose answer is relayed.
-  std::optional<AttemptId> relayed;
-  // Why the caller would be told that the request may have run: the last
-  // attempt of which that is not known to be false.
-  std::optional<ErrorKind> uncertain;
-  std::uint32_t uncertain_attempts = 0;
-  // Backend servers that failed this request.
-  std::vector<BackendId> failed;
-};
-
-// Nothing when the attempt provably did not run, or succeeded.
-std::optional<ErrorKind> UncertainKind(AttemptResult result) {
-  switch (result) {
-    case AttemptResult::kSuccess:
-    case AttemptResult::kNotSent:
-    case AttemptResult::kRefused:
-      return std::nullopt;
-    case AttemptResult::kServerError:
-    case AttemptResult::kBroken:
-      return ErrorKind::kBackendBroken;
-    case AttemptResult::kTimedOut:
-      return ErrorKind::kBackendTimeout;
-    case AttemptResult::kTruncated:
-      return ErrorKind::kTruncatedAnswer;
-    case AttemptResult::kMismatched:
-      return ErrorKind::kWrongAnswer;
-    case AttemptResult::kCancelled:
-      return ErrorKind::kCallerLeft;
-  }
-  return ErrorKind::kInternal;
-}
-
 }  // namespace
 
 struct Dispatcher::State {
@@ -79,7 +34,6 @@
       : random(std::move(source)), pool(service, self, *this->random) {}
 
   RequestState* Find(RequestId request);
-  RunningAttempt* FindAttempt(RequestState& request, AttemptId attempt);
   bool Admit(const Work& work, TimePoint now);
   void Enqueue(RequestState& request, TimePoint now);
   bool TryStart(RequestState& request, TimePoint now);
@@ -89,7 +43,6 @@
   void RefuseWaitingWithoutChoice();
   void EndAttempt(RequestState& request, AttemptId attempt);
   void CancelAll(RequestState& request);
-  void MarkUncertain(RequestState& request, ErrorKind kind);
   bool MayRetry(const RequestState& request,
                 AttemptResult result,
                 bool replayable,
@@ -128,16 +81,6 @@
   return found == this->requests.end() ? nullptr : &found->second;
 }
 
-RunningAttempt* Dispatcher::State::FindAttempt(RequestState& request,
-                                               AttemptId attempt) {
-  for (RunningAttempt& running : request.running) {
-    if (running.id == attempt) {
-      return &running;
-    }
-  }
-  return nullptr;
-}
-
 bool Dispatcher::State::Admit(const Work& work, TimePoint now) {
   if (!this->accounts) {
     return true;
@@ -250,11 +193,6 @@
   }
 }
 
-void Dispatcher::State::MarkUncertain(RequestState& request, ErrorKind kind) {
-  request.uncertain = kind;
-  ++request.uncertain_attempts;
-}
-
 bool Dispatcher::State::MayRetry(const RequestState& request,
                                  AttemptResult result,
                                  bool replayable,
@@ -326,7 +264,7 @@
          this->by_deadline.begin()->first <= now) {
     const RequestId id = this->by_deadline.begin()->second;
     RequestState& request = *this->Find(id);
-    this->MarkUncertain(request, ErrorKind::kBackendTimeout);
+    request.MarkUncertain(ErrorKind::kBackendTimeout);
     for (const RunningAttempt& attempt : request.running) {
       const bool had_time = now - attempt.started >= kSilence;
       if (had_time && !attempt.was_overdue) {
@@ -345,7 +283,7 @@
          std::get<TimePoint>(*this->by_overdue.begin()) <= now) {
     const auto [at, request_id, attempt_id] = *this->by_overdue.begin();
     RequestState& request = *this->Find(request_id);
-    RunningAttempt& attempt = *this->FindAttempt(request, attempt_id);
+    RunningAttempt& attempt = *request.FindAttempt(attempt_id);
     this->ForgetOverdue(request, attempt);
     attempt.was_overdue = true;
     this->pool.OnOverdue(*attempt.backend, attempt.started, now);
@@ -443,7 +381,7 @@
   State& state = *this->state;
   RequestState* request = state.Find(request_id);
   RunningAttempt* attempt =
-      request == nullptr ? nullptr : state.FindAttempt(*request, attempt_id);
+      request == nullptr ? nullptr : request->FindAttempt(attempt_id);
   if (attempt == nullptr || request->relayed) {
     return {};
   }
@@ -452,7 +390,7 @@
       server_error ? AttemptResult::kServerError : AttemptResult::kSuccess;
   state.Learn(*request, *attempt, result, now);
   if (server_error) {
-    state.MarkUncertain(*request, ErrorKind::kBackendBroken);
+    request->MarkUncertain(ErrorKind::kBackendBroken);
     request->failed.push_back(attempt->backend->server.id);
     const bool others = request->running.size() > 1;
     if (others || state.MayRetry(*request, result, replayable, now)) {
@@ -482,9 +420,8 @@
                                          TimePoint now) {
   State& state = *this->state;
   RequestState* request = state.Find(report.request);
-  RunningAttempt* attempt = request == nullptr
-                                ? nullptr
-                                : state.FindAttempt(*request, report.attempt);
+  RunningAttempt* attempt =
+      request == nullptr ? nullptr : request->FindAttempt(report.attempt);
   if (attempt == nullptr) {
     return {};
   }
@@ -503,7 +440,7 @@
   state.Learn(*request, *attempt, report.result, now);
   const std::optional<ErrorKind> uncertain = UncertainKind(report.result);
   if (uncertain || report.result == AttemptResult::kSuccess) {
-    state.MarkUncertain(*request, uncertain.value_or(ErrorKind::kInternal));
+    request->MarkUncertain(uncertain.value_or(ErrorKind::kInternal));
   }
   if (report.result != AttemptResult::kRefused) {
     request->failed.push_back(attempt->backend->server.id);
@@ -547,8 +484,9 @@
   return state.TakeActions(now);
 }
 
-std::vector<schema::BackendEvidenceT> Dispatcher::TakeEvidence(TimePoint now) {
-  return this->state->pool.TakeEvidence(now);
+std::vector<schema::BackendEvidenceT> Dispatcher::TakeEvidence(
+    TimePoint /*now*/) {
+  return this->state->pool.TakeEvidence();
 }
 
 std::uint32_t Dispatcher::InFlight() const {
