--- a/src/concurrency_limit.cc
+++ b/src/concurrency_limit.cc
@@ -9,7 +9,7 @@
 constexpr Duration kFirstPause = std::chrono::milliseconds(4);
 constexpr Duration kLongestPause = std::chrono::milliseconds(2000);
 // At a home backend server slots come free for this entry again soon.
-constexpr Duration kLongestHomePause = std::chrono::milliseconds(32);
+constexpr Duration kLongestHomePause = std::chrono::milliseconds(16);
 constexpr std::uint32_t kMostDoublings = 10;
 // Added to the limit by an answer while the limit is used up.
 constexpr double kIncreaseWithinShare = 1.0;
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -16,7 +16,7 @@
 
 namespace {
 
-constexpr std::uint32_t kMostAttempts = 8;
+constexpr std::uint32_t kMostAttempts = 32;
 // Attempts that may have run, of one idempotent request.
 constexpr std::uint32_t kMostUncertainAttempts = 3;
 // At its deadline an attempt that ran this long tells against its backend
