Tell several sick backend servers from a sick service

An entry with little to do always used the same home; a third of the backend servers failing together cleared each other of suspicion, so that none was avoided; and two corrupt answers left the compared span open at its start. Change: homes take turns; what is usual leaves out suspects, and the comparison leaves out the doubtful, which must not be more than the others; the span starts at the oldest of the latest three bad outcomes that there are; more good outcomes of the others are asked for (12, and 6 for each bad one); refusals in a row lengthen the pause fourfold.

--- a/src/backend_health.cc
+++ b/src/backend_health.cc
@@ -12,7 +12,7 @@
 constexpr double kThreshold = 12;
 constexpr double kThresholdAfterReturn = 6;
 // Rates at a sick backend server, and the least that counts as usual.
-constexpr double kSickFailureRate = 0.3;
+constexpr double kSickFailureRate = 0.45;
 constexpr double kSickSlowRate = 0.6;
 constexpr double kLeastUsualFailureRate = 0.01;
 constexpr double kLeastUsualSlowRate = 0.03;
@@ -24,6 +24,7 @@
 constexpr Duration kLongestAvoidance = std::chrono::seconds(60);
 constexpr std::uint32_t kMostRelapses = 5;
 constexpr std::uint32_t kGoodToReturn = 3;
+constexpr std::uint32_t kMoreGoodPerRelapse = 2;
 constexpr Duration kRamp = std::chrono::seconds(4);
 constexpr double kFirstRampWeight = 0.1;
 constexpr Duration kRelapseMemory = std::chrono::minutes(5);
@@ -76,8 +77,10 @@
     return false;
   }
   this->mostly_slow = this->slow_sum > this->failure_sum;
-  this->bad_starts[this->bad_next] = outcome.started;
-  this->bad_next = (this->bad_next + 1) % kSuspectOutcomes;
+  this->bad_starts.push_back(outcome.started);
+  if (this->bad_starts.size() > kSuspectOutcomes) {
+    this->bad_starts.pop_front();
+  }
   const bool suspect =
       this->failure_sum + this->slow_sum >= this->Threshold(now);
   if (suspect && !this->suspect_since) {
@@ -103,11 +106,17 @@
     return;
   }
   ++this->good_in_a_row;
-  if (this->good_in_a_row >= kGoodToReturn && now >= this->avoided_until) {
+  const std::uint32_t needed =
+      kGoodToReturn + kMoreGoodPerRelapse * this->relapses;
+  if (this->good_in_a_row >= needed && now >= this->avoided_until) {
     this->Return(now);
   }
 }
 
+bool BackendHealth::IsDoubtful(TimePoint now) const {
+  return this->failure_sum + this->slow_sum >= this->Threshold(now) / 2;
+}
+
 double BackendHealth::Threshold(TimePoint now) const {
   return this->State(now) == Condition::kReturning ? kThresholdAfterReturn
                                                    : kThreshold;
@@ -168,6 +177,7 @@
   this->failure_sum = 0;
   this->slow_sum = 0;
   this->suspect_since.reset();
+  this->bad_starts.clear();
 }
 
 BackendHealth::Condition BackendHealth::State(TimePoint now) const {
--- a/src/backend_health.h
+++ b/src/backend_health.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 #include "src/clock.h"
@@ -61,6 +62,9 @@
   // Recent share of bad outcomes, failures counted double: the least bad has
   // the lowest.
   double Badness() const { return this->badness; }
+  bool IsSuspect() const { return this->suspect_since.has_value(); }
+  // Half the evidence that makes a suspect, or more.
+  bool IsDoubtful(TimePoint now) const;
   // Start of the outcomes that made it a suspect: from here on it is compared
   // with the others. Only for a suspect.
   TimePoint SuspectSince() const { return *this->suspect_since; }
@@ -96,8 +100,8 @@
   std::array<AttemptEvidence, kRecent> recent;
   std::size_t recent_count = 0;
   std::size_t recent_next = 0;
-  std::array<TimePoint, kSuspectOutcomes> bad_starts{};
-  std::size_t bad_next = 0;
+  // Starts of the latest bad outcomes.
+  std::deque<TimePoint> bad_starts;
   std::optional<TimePoint> suspect_since;
   // Requests sent, decayed over kRateMemory.
   double sent = 0;
--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -216,10 +216,14 @@
   return best;
 }
 
+// The least loaded home; among equals each in turn, so that all are known.
 PooledBackend* BackendPool::PickHome(const PickRequest& request,
                                      TimePoint now) {
   PooledBackend* best = nullptr;
-  for (PooledBackend* home : this->homes) {
+  ++this->home_turn;
+  for (std::size_t i = 0; i < this->homes.size(); ++i) {
+    PooledBackend* home =
+        this->homes[(this->home_turn + i) % this->homes.size()];
     if (this->HasRoom(*home, request, now) && this->TakesTurn(*home, now) &&
         (best == nullptr || home->Load() < best->Load())) {
       best = home;
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -113,6 +113,7 @@
   std::vector<PooledBackend*> listed;
   std::vector<PooledBackend*> homes;
   std::vector<PooledBackend*> nearby;
+  std::size_t home_turn = 0;
   TimePoint spill_paused_until{};
 };
 
--- a/src/concurrency_limit.cc
+++ b/src/concurrency_limit.cc
@@ -10,7 +10,7 @@
 constexpr Duration kLongestPause = std::chrono::milliseconds(2000);
 // At a home backend server slots come free for this entry again soon.
 constexpr Duration kLongestHomePause = std::chrono::milliseconds(16);
-constexpr std::uint32_t kMostDoublings = 10;
+constexpr std::uint32_t kMostQuadruplings = 5;
 // Added to the limit by an answer while the limit is used up.
 constexpr double kIncreaseWithinShare = 1.0;
 constexpr double kIncreaseBeyondShare = 0.25;
@@ -56,9 +56,9 @@
   this->limit = std::max(1.0, std::min<double>(this->limit, in_flight));
   const Duration longest = this->share > 0 ? kLongestHomePause : kLongestPause;
   const Duration pause =
-      std::min(longest, kFirstPause * (1U << this->refusals_in_a_row));
+      std::min(longest, kFirstPause * (1U << (2 * this->refusals_in_a_row)));
   this->refusals_in_a_row =
-      std::min(this->refusals_in_a_row + 1, kMostDoublings);
+      std::min(this->refusals_in_a_row + 1, kMostQuadruplings);
   // Between half and one and a half of the pause, so that entries that were
   // refused together do not come back together.
   const double jitter = 0.5 + random.Fraction();
--- a/src/concurrency_limit.h
+++ b/src/concurrency_limit.h
@@ -1,7 +1,7 @@
 // How many requests this entry keeps at one backend server at once. Entries
 // cannot see each other's use of a backend server's few slots, so each learns
 // from refusals: a refusal lowers the limit to what was in flight and closes
-// the backend server for a moment that doubles on each further refusal; answers
+// the backend server for a moment that grows on each further refusal; answers
 // raise the limit again while it is used up (additive increase, after Chiu and
 // Jain 1989).
 #ifndef SRC_CONCURRENCY_LIMIT_H_
--- a/src/service_health.cc
+++ b/src/service_health.cc
@@ -17,8 +17,8 @@
 constexpr std::size_t kMinMedians = 2;
 // To tell against a suspect the others need this many good outcomes in the
 // same time, and this many more for each bad one.
-constexpr std::uint32_t kMinGoodOfOthers = 8;
-constexpr std::uint32_t kMoreGoodPerBad = 5;
+constexpr std::uint32_t kMinGoodOfOthers = 12;
+constexpr std::uint32_t kMoreGoodPerBad = 6;
 // Others that do this badly clear the suspect: one bad in as many good ones.
 constexpr std::uint32_t kGoodPerBad = 3;
 constexpr std::uint32_t kMinBadOfOthers = 2;
@@ -32,6 +32,16 @@
 // A suspect takes the place of an avoided one only when it is worse by this.
 constexpr double kWorseBy = 0.15;
 
+// The lower of two in the middle: of two backend servers the better one sets
+// the measure.
+template <typename T>
+T LowerMedian(std::vector<T>& values) {
+  const auto middle =
+      values.begin() + static_cast<std::ptrdiff_t>((values.size() - 1) / 2);
+  std::nth_element(values.begin(), middle, values.end());
+  return *middle;
+}
+
 }  // namespace
 
 void ServiceHealth::SetBackends(std::vector<JudgedBackend> backends,
@@ -74,12 +84,7 @@
   if (each.size() < kMinMedians) {
     return;
   }
-  // The lower of two in the middle: of two backend servers the faster one sets
-  // the measure.
-  const auto middle =
-      each.begin() + static_cast<std::ptrdiff_t>((each.size() - 1) / 2);
-  std::nth_element(each.begin(), middle, each.end());
-  this->medians[index] = *middle;
+  this->medians[index] = LowerMedian(each);
 }
 
 ServiceHealth::Counts ServiceHealth::CountRecent(const BackendHealth& backend,
@@ -96,10 +101,15 @@
   return counts;
 }
 
+// Suspects do not say what is usual.
+bool ServiceHealth::IsExample(const BackendHealth& backend) {
+  return !backend.IsAvoided() && !backend.IsSuspect();
+}
+
 void ServiceHealth::RefreshRates(TimePoint now) {
   this->totals = {};
   for (const JudgedBackend& backend : this->backends) {
-    if (backend.health->IsAvoided()) {
+    if (!IsExample(*backend.health)) {
       continue;
     }
     const Counts counts = this->CountRecent(*backend.health, now);
@@ -109,13 +119,14 @@
   }
 }
 
-UsualRates ServiceHealth::RatesWithout(const BackendHealth& backend,
+UsualRates ServiceHealth::UsualWithout(const BackendHealth& backend,
                                        TimePoint now) const {
-  const Counts own = this->CountRecent(backend, now);
-  const double others = std::max(0.0, this->totals.all - own.all);
+  const Counts own =
+      IsExample(backend) ? this->CountRecent(backend, now) : Counts{};
   const double failed = std::max(0.0, this->totals.failed - own.failed);
   const double slow = std::max(0.0, this->totals.slow - own.slow);
-  const double all = others + kAssumedOutcomes;
+  const double all =
+      std::max(0.0, this->totals.all - own.all) + kAssumedOutcomes;
   return {(failed + kAssumedOutcomes * kAssumedFailed) / all,
           (slow + kAssumedOutcomes * kAssumedSlow) / all};
 }
@@ -136,10 +147,10 @@
                         const AttemptEvidence& outcome,
                         TimePoint now) {
   this->RefreshWhenDue(now);
-  if (!backend.Add(outcome, this->RatesWithout(backend, now), now)) {
+  if (!backend.Add(outcome, this->UsualWithout(backend, now), now)) {
     return;
   }
-  switch (this->CompareWithOthers(backend)) {
+  switch (this->CompareWithOthers(backend, now)) {
     case Contrast::kClear:
       return this->AvoidWithinFloor(backend, now);
     case Contrast::kNone:
@@ -150,25 +161,36 @@
 }
 
 ServiceHealth::Contrast ServiceHealth::CompareWithOthers(
-    const BackendHealth& suspect) const {
+    const BackendHealth& suspect,
+    TimePoint now) const {
   const TimePoint since = suspect.SuspectSince();
   std::uint32_t good = 0;
   std::uint32_t bad = 0;
+  std::uint32_t examples = 0;
+  std::uint32_t doubtful = 0;
   for (const JudgedBackend& backend : this->backends) {
-    if (backend.health == &suspect || backend.health->IsAvoided()) {
+    if (backend.health->IsAvoided()) {
+      continue;
+    }
+    // Several may turn sick at once; if most seem to, it is the service.
+    if (backend.health->IsDoubtful(now)) {
+      ++doubtful;
       continue;
     }
+    const std::uint32_t good_before = good;
     backend.health->ForRecent([&](const AttemptEvidence& outcome) {
       if (outcome.started >= since) {
         ++(outcome.IsBad() ? bad : good);
       }
     });
+    examples += good > good_before ? 1 : 0;
   }
   if (bad >= kMinBadOfOthers && bad * kGoodPerBad > good) {
     return Contrast::kNone;
   }
-  return good >= kMinGoodOfOthers + kMoreGoodPerBad * bad ? Contrast::kClear
-                                                          : Contrast::kUnknown;
+  const bool clear = good >= kMinGoodOfOthers + kMoreGoodPerBad * bad &&
+                     doubtful <= examples + 1;
+  return clear ? Contrast::kClear : Contrast::kUnknown;
 }
 
 void ServiceHealth::AvoidWithinFloor(BackendHealth& suspect, TimePoint now) {
--- a/src/service_health.h
+++ b/src/service_health.h
@@ -54,8 +54,9 @@
   void RefreshWhenDue(TimePoint now);
   void RefreshMedian(WorkClass work_class);
   void RefreshRates(TimePoint now);
-  UsualRates RatesWithout(const BackendHealth& backend, TimePoint now) const;
-  Contrast CompareWithOthers(const BackendHealth& suspect) const;
+  static bool IsExample(const BackendHealth& backend);
+  UsualRates UsualWithout(const BackendHealth& backend, TimePoint now) const;
+  Contrast CompareWithOthers(const BackendHealth& suspect, TimePoint now) const;
   void AvoidWithinFloor(BackendHealth& suspect, TimePoint now);
   BackendHealth* LeastBadAvoided() const;
   bool HoldsFloor(std::uint32_t without_slots) const;
--- a/test/dispatch_fixture.h
+++ b/test/dispatch_fixture.h
@@ -60,18 +60,6 @@
     this->Head(start);
     return this->End(start, AttemptResult::kSuccess);
   }
-  // One request from start to end, answered or ended with `result` after
-  // `latency`. Gives the backend server it went to.
-  BackendId Exchange(AttemptResult result, Duration latency, bool idempotent) {
-    const StartAttempt start = Only<StartAttempt>(this->Request(idempotent));
-    this->now += latency;
-    if (result == AttemptResult::kSuccess) {
-      this->Answer(start);
-    } else {
-      this->End(start, result);
-    }
-    return start.backend;
-  }
   DispatchActions Advance(Duration by) {
     this->now += by;
     return this->dispatcher->OnTimer(this->now);
