Send short work apart from long work while there is any

Cause: at 1500 short and 40 long requests a second (90 % of all slots) short work was refused at backend servers that long work filled: p99 2.96 times that without long work, 99.6 % answered. Change: the pool keeps three neighbourhoods, each with its own homes: all, the backend servers that take long work, and the others. While long work was seen within 10 s, short work goes to the others first. A service median needs 24 latencies, so that the first few do not pass for it. Ruled out: homes of short work always apart from long work (it would leave more than half of the slots to spill when there is no long work).

--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -14,6 +14,8 @@
 // fleet confirming it.
 constexpr Duration kUnconfirmedLeaving = std::chrono::minutes(10);
 constexpr Duration kSpillPause = std::chrono::milliseconds(20);
+// The service stays split for this long after the last long work.
+constexpr Duration kSplitMemory = std::chrono::seconds(10);
 constexpr int kDraws = 8;
 
 std::size_t IndexOf(WorkClass work_class) {
@@ -87,47 +89,48 @@
 
 void BackendPool::AssignRoles(TimePoint now) {
   std::vector<PooledBackend*> serving;
-  std::vector<BackendServer> servers;
   std::vector<JudgedBackend> judged;
   for (PooledBackend* backend : this->listed) {
-    backend->home = false;
     const bool in_service = backend->IsInService();
     if (in_service) {
       serving.push_back(backend);
-      servers.push_back(backend->server);
     }
     judged.push_back({&backend->health, backend->server.slots,
                       in_service && !backend->slow_start.IsCold()});
   }
   this->health.SetBackends(std::move(judged), this->policy.floor_percent, now);
-  this->homes.clear();
-  this->nearby.clear();
+  this->everywhere = this->MakeNeighbourhood(std::move(serving));
+  this->AssignHosts();
+}
+
+Neighbourhood BackendPool::MakeNeighbourhood(
+    std::vector<PooledBackend*> backends) const {
+  std::vector<BackendServer> servers;
+  for (const PooledBackend* backend : backends) {
+    servers.push_back(backend->server);
+  }
   const HomeAssignment assignment =
       AssignHomes(this->service, this->self, this->entries, servers);
+  Neighbourhood area;
   for (const std::size_t i : assignment.homes) {
-    serving[i]->home = true;
-    this->homes.push_back(serving[i]);
+    area.homes.push_back(backends[i]);
   }
   for (const std::size_t i : assignment.nearby) {
-    this->nearby.push_back(serving[i]);
+    area.nearby.push_back(backends[i]);
   }
-  for (PooledBackend* backend : serving) {
-    const std::uint32_t share =
-        DivideUp(backend->server.slots,
-                 static_cast<std::uint32_t>(assignment.entries_per_home));
-    backend->limit.Configure(backend->server.slots, backend->home ? share : 0);
-  }
-  this->AssignLongHosts();
+  area.entries_per_home = assignment.entries_per_home;
+  area.all = std::move(backends);
+  return area;
 }
 
 // Long work moves on from an avoided backend server, so that its share of the
 // service stays the same.
-void BackendPool::AssignLongHosts() {
+void BackendPool::AssignHosts() {
   std::vector<PooledBackend*> usable;
   std::vector<BackendId> ids;
-  for (PooledBackend* backend : this->listed) {
+  for (PooledBackend* backend : this->everywhere.all) {
     backend->long_host = false;
-    if (backend->IsInService() && !backend->health.IsAvoided()) {
+    if (!backend->health.IsAvoided()) {
       usable.push_back(backend);
       ids.push_back(backend->server.id);
     }
@@ -136,6 +139,45 @@
        LongHosts(this->service, ids, this->policy.long_slots_percent)) {
     usable[i]->long_host = true;
   }
+  const auto is_host = [](const PooledBackend* each) {
+    return each->long_host;
+  };
+  const auto hosts_end =
+      std::stable_partition(usable.begin(), usable.end(), is_host);
+  this->long_hosts = this->MakeNeighbourhood({usable.begin(), hosts_end});
+  this->apart_from_long = this->MakeNeighbourhood({hosts_end, usable.end()});
+  this->AssignLimits();
+}
+
+void BackendPool::AssignLimits() {
+  for (PooledBackend* backend : this->everywhere.all) {
+    backend->home = false;
+    backend->limit.Configure(backend->server.slots, 0);
+  }
+  const auto welcome = [](const Neighbourhood& area) {
+    const auto entries = static_cast<std::uint32_t>(area.entries_per_home);
+    for (PooledBackend* backend : area.homes) {
+      backend->home = true;
+      backend->limit.Configure(backend->server.slots,
+                               DivideUp(backend->server.slots, entries));
+    }
+  };
+  welcome(this->everywhere);
+  if (this->is_split) {
+    welcome(this->apart_from_long);
+    welcome(this->long_hosts);
+  }
+}
+
+void BackendPool::UpdateSplit(bool long_work, TimePoint now) {
+  if (long_work) {
+    this->split_until = now + kSplitMemory;
+  }
+  const bool split = now < this->split_until;
+  if (split != this->is_split) {
+    this->is_split = split;
+    this->AssignLimits();
+  }
 }
 
 bool BackendPool::HasSlot(const PooledBackend& backend,
@@ -170,9 +212,26 @@
   if (PooledBackend* trickle = this->PickTrickle(request, now)) {
     return trickle;
   }
-  PooledBackend* home = this->PickHome(request, now);
-  const bool spill = now >= this->spill_paused_until || this->homes.empty();
-  return home != nullptr || !spill ? home : this->PickOther(request, now);
+  const bool long_work = request.work_class == WorkClass::kLong;
+  this->UpdateSplit(long_work, now);
+  if (long_work) {
+    return this->PickIn(this->long_hosts, request, now);
+  }
+  if (this->is_split) {
+    if (PooledBackend* apart =
+            this->PickIn(this->apart_from_long, request, now)) {
+      return apart;
+    }
+  }
+  return this->PickIn(this->everywhere, request, now);
+}
+
+PooledBackend* BackendPool::PickIn(const Neighbourhood& area,
+                                   const PickRequest& request,
+                                   TimePoint now) {
+  PooledBackend* home = this->PickHome(area, request, now);
+  const bool spill = now >= this->spill_paused_until || area.homes.empty();
+  return home != nullptr || !spill ? home : this->PickOther(area, request, now);
 }
 
 // The occasional request that shows whether an avoided backend server is well
@@ -217,13 +276,13 @@
 }
 
 // The least loaded home; among equals each in turn, so that all are known.
-PooledBackend* BackendPool::PickHome(const PickRequest& request,
+PooledBackend* BackendPool::PickHome(const Neighbourhood& area,
+                                     const PickRequest& request,
                                      TimePoint now) {
   PooledBackend* best = nullptr;
   ++this->home_turn;
-  for (std::size_t i = 0; i < this->homes.size(); ++i) {
-    PooledBackend* home =
-        this->homes[(this->home_turn + i) % this->homes.size()];
+  for (std::size_t i = 0; i < area.homes.size(); ++i) {
+    PooledBackend* home = area.homes[(this->home_turn + i) % area.homes.size()];
     if (this->HasRoom(*home, request, now) && this->TakesTurn(*home, now) &&
         (best == nullptr || home->Load() < best->Load())) {
       best = home;
@@ -252,18 +311,19 @@
   return first;
 }
 
-PooledBackend* BackendPool::PickOther(const PickRequest& request,
+PooledBackend* BackendPool::PickOther(const Neighbourhood& area,
+                                      const PickRequest& request,
                                       TimePoint now) {
-  for (const auto* among : {&this->nearby, &this->listed}) {
+  for (const auto* among : {&area.nearby, &area.all}) {
     PooledBackend* picked = this->PickLessLoaded(*among, request, now);
     if (picked != nullptr) {
       return picked;
     }
   }
-  const std::size_t count = this->listed.size();
+  const std::size_t count = area.all.size();
   const std::size_t start = count == 0 ? 0 : this->random.Below(count);
   for (std::size_t i = 0; i < count; ++i) {
-    PooledBackend* candidate = this->listed[(start + i) % count];
+    PooledBackend* candidate = area.all[(start + i) % count];
     if (this->HasRoom(*candidate, request, now)) {
       return candidate;
     }
@@ -380,7 +440,7 @@
   const bool was_avoided = backend.health.IsAvoided();
   this->health.Add(backend.health, evidence, now);
   if (backend.health.IsAvoided() != was_avoided) {
-    this->AssignLongHosts();
+    this->AssignHosts();
   }
 }
 
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -40,6 +40,14 @@
   const std::vector<BackendId>& excluded;
 };
 
+// The backend servers that one kind of work may use, in order of preference.
+struct Neighbourhood {
+  std::vector<PooledBackend*> homes;
+  std::vector<PooledBackend*> nearby;
+  std::vector<PooledBackend*> all;
+  std::size_t entries_per_home = 1;
+};
+
 class BackendPool {
  public:
   BackendPool(ServiceName service, InstanceId self, RandomSource& random);
@@ -77,11 +85,18 @@
   PooledBackend* PickTrickle(const PickRequest& request, TimePoint now);
   PooledBackend* PickAvoided(const PickRequest& request, TimePoint now);
   bool TakesTurn(const PooledBackend& backend, TimePoint now);
-  PooledBackend* PickHome(const PickRequest& request, TimePoint now);
+  PooledBackend* PickIn(const Neighbourhood& area,
+                        const PickRequest& request,
+                        TimePoint now);
+  PooledBackend* PickHome(const Neighbourhood& area,
+                          const PickRequest& request,
+                          TimePoint now);
   PooledBackend* PickLessLoaded(const std::vector<PooledBackend*>& among,
                                 const PickRequest& request,
                                 TimePoint now);
-  PooledBackend* PickOther(const PickRequest& request, TimePoint now);
+  PooledBackend* PickOther(const Neighbourhood& area,
+                           const PickRequest& request,
+                           TimePoint now);
   bool HasAnyUnavoided() const;
   // Apart from health.
   bool HasSlot(const PooledBackend& backend,
@@ -96,7 +111,11 @@
   void DropGone();
   // Chooses homes and the backend servers that take long work.
   void AssignRoles(TimePoint now);
-  void AssignLongHosts();
+  void AssignHosts();
+  Neighbourhood MakeNeighbourhood(std::vector<PooledBackend*> backends) const;
+  void AssignLimits();
+  // Splits the service while long work is about.
+  void UpdateSplit(bool long_work, TimePoint now);
   void AddEvidence(PooledBackend& backend,
                    const AttemptEvidence& evidence,
                    TimePoint now);
@@ -111,8 +130,13 @@
   std::unordered_map<BackendId, std::unique_ptr<PooledBackend>> backends;
   // Those in the view.
   std::vector<PooledBackend*> listed;
-  std::vector<PooledBackend*> homes;
-  std::vector<PooledBackend*> nearby;
+  // Where any short work may go; where it goes first while there is long work;
+  // where long work goes.
+  Neighbourhood everywhere;
+  Neighbourhood apart_from_long;
+  Neighbourhood long_hosts;
+  bool is_split = false;
+  TimePoint split_until{};
   std::size_t home_turn = 0;
   TimePoint spill_paused_until{};
 };
--- a/src/service_health.cc
+++ b/src/service_health.cc
@@ -15,6 +15,7 @@
 // service's from this many backend servers on.
 constexpr std::size_t kMinLatencies = 3;
 constexpr std::size_t kMinMedians = 2;
+constexpr std::size_t kMinLatenciesOfService = 24;
 // To tell against a suspect the others need this many good outcomes in the
 // same time, and this many more for each bad one.
 constexpr std::uint32_t kMinGoodOfOthers = 12;
@@ -75,13 +76,15 @@
 void ServiceHealth::RefreshMedian(WorkClass work_class) {
   const auto index = static_cast<std::size_t>(work_class);
   std::vector<Duration> each;
+  std::size_t latencies = 0;
   for (const JudgedBackend& backend : this->backends) {
     const LatencyWindow& window = backend.health->latencies[index];
+    latencies += window.Count();
     if (window.Count() >= kMinLatencies) {
       each.push_back(window.Median());
     }
   }
-  if (each.size() < kMinMedians) {
+  if (each.size() < kMinMedians || latencies < kMinLatenciesOfService) {
     return;
   }
   this->medians[index] = LowerMedian(each);
--- a/test/correctness/dispatcher_health_test.cc
+++ b/test/correctness/dispatcher_health_test.cc
@@ -127,6 +127,19 @@
   }
 }
 
+TEST_CASE("A third of the backend servers failing together is avoided") {
+  std::set<BackendId> sick;
+  for (std::uint32_t i = 0; i < 5; ++i) {
+    sick.insert(DispatchFixture::Id(i));
+  }
+  for (const Sickness& sickness : {kSicknesses[0], kSicknesses[5]}) {
+    DispatchFixture fresh(15, 3);
+    Serve(fresh, 300, {}, {});
+    Serve(fresh, 300, sick, sickness);
+    CHECK(Avoided(fresh).size() == sick.size());
+  }
+}
+
 TEST_CASE("Avoidance leaves the floor and keeps the least bad") {
   DispatchFixture fixture(5, 2);
   fixture.view.policy.floor_percent = 60;
