--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -99,8 +99,15 @@
                       in_service && !backend->slow_start.IsCold()});
   }
   this->health.SetBackends(std::move(judged), this->policy.floor_percent, now);
-  this->everywhere = this->MakeNeighbourhood(std::move(serving));
-  this->AssignHosts();
+  RoleInputs inputs{{}, this->entries, this->policy.long_slots_percent};
+  for (const PooledBackend* backend : serving) {
+    inputs.servers.push_back(backend->server);
+  }
+  if (inputs != this->role_inputs) {
+    this->role_inputs = std::move(inputs);
+    this->everywhere = this->MakeNeighbourhood(std::move(serving));
+    this->AssignHosts();
+  }
 }
 
 Neighbourhood BackendPool::MakeNeighbourhood(
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -48,6 +48,14 @@
   std::size_t entries_per_home = 1;
 };
 
+// What homes and the split follow from; most views change nothing of it.
+struct RoleInputs {
+  std::vector<BackendServer> servers;
+  std::vector<InstanceId> entries;
+  std::uint32_t long_slots_percent = 0;
+  bool operator==(const RoleInputs&) const = default;
+};
+
 class BackendPool {
  public:
   BackendPool(ServiceName service, InstanceId self, RandomSource& random);
@@ -132,6 +140,7 @@
   std::vector<PooledBackend*> listed;
   // Where any short work may go; where it goes first while there is long work;
   // where long work goes.
+  RoleInputs role_inputs;
   Neighbourhood everywhere;
   Neighbourhood apart_from_long;
   Neighbourhood long_hosts;
