--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -1,7 +1,6 @@
 #include "src/backend_pool.h"
 
 #include <algorithm>
-#include <sstream>
 #include <utility>
 
 #include "src/home_assignment.h"
@@ -15,6 +14,8 @@
 // fleet confirming it.
 constexpr Duration kUnconfirmedLeaving = std::chrono::minutes(10);
 constexpr Duration kSpillPause = std::chrono::milliseconds(20);
+// The service stays split for this long after the last long work.
+constexpr Duration kSplitMemory = std::chrono::seconds(10);
 constexpr int kDraws = 8;
 
 std::size_t IndexOf(WorkClass work_class) {
@@ -29,26 +30,8 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-// Share of the backend server's slots that this entry uses.
-double LoadOf(const PooledBackend& backend) {
-  return static_cast<double>(backend.InFlight()) / backend.server.slots;
-}
-
 }  // namespace
 
-std::uint32_t PooledBackend::InFlight() const {
-  return this->in_flight[0] + this->in_flight[1];
-}
-
-double PooledBackend::Weight(TimePoint now) const {
-  return this->health.Weight(now) * this->slow_start.Weight(now);
-}
-
-bool PooledBackend::IsInService() const {
-  return this->in_view && !this->ejected && !this->leaving &&
-         !this->said_leaving;
-}
-
 BackendPool::BackendPool(ServiceName service,
                          InstanceId self,
                          RandomSource& random)
@@ -106,47 +89,55 @@
 
 void BackendPool::AssignRoles(TimePoint now) {
   std::vector<PooledBackend*> serving;
-  std::vector<BackendServer> servers;
   std::vector<JudgedBackend> judged;
   for (PooledBackend* backend : this->listed) {
-    backend->home = false;
     const bool in_service = backend->IsInService();
     if (in_service) {
       serving.push_back(backend);
-      servers.push_back(backend->server);
     }
     judged.push_back({&backend->health, backend->server.slots,
                       in_service && !backend->slow_start.IsCold()});
   }
   this->health.SetBackends(std::move(judged), this->policy.floor_percent, now);
-  this->homes.clear();
-  this->nearby.clear();
+  RoleInputs inputs{{}, this->entries, this->policy.long_slots_percent};
+  for (const PooledBackend* backend : serving) {
+    inputs.servers.push_back(backend->server);
+  }
+  if (inputs != this->role_inputs) {
+    this->role_inputs = std::move(inputs);
+    this->everywhere = this->MakeNeighbourhood(std::move(serving));
+    this->AssignHosts();
+  }
+}
+
+Neighbourhood BackendPool::MakeNeighbourhood(
+    std::vector<PooledBackend*> backends) const {
+  std::vector<BackendServer> servers;
+  for (const PooledBackend* backend : backends) {
+    servers.push_back(backend->server);
+  }
   const HomeAssignment assignment =
       AssignHomes(this->service, this->self, this->entries, servers);
+  Neighbourhood area;
   for (const std::size_t i : assignment.homes) {
-    serving[i]->home = true;
-    this->homes.push_back(serving[i]);
+    area.homes.push_back(backends[i]);
   }
   for (const std::size_t i : assignment.nearby) {
-    this->nearby.push_back(serving[i]);
-  }
-  for (PooledBackend* backend : serving) {
-    const std::uint32_t share =
-        DivideUp(backend->server.slots,
-                 static_cast<std::uint32_t>(assignment.entries_per_home));
-    backend->limit.Configure(backend->server.slots, backend->home ? share : 0);
+    area.nearby.push_back(backends[i]);
   }
-  this->AssignLongHosts();
+  area.entries_per_home = assignment.entries_per_home;
+  area.all = std::move(backends);
+  return area;
 }
 
 // Long work moves on from an avoided backend server, so that its share of the
 // service stays the same.
-void BackendPool::AssignLongHosts() {
+void BackendPool::AssignHosts() {
   std::vector<PooledBackend*> usable;
   std::vector<BackendId> ids;
-  for (PooledBackend* backend : this->listed) {
+  for (PooledBackend* backend : this->everywhere.all) {
     backend->long_host = false;
-    if (backend->IsInService() && !backend->health.IsAvoided()) {
+    if (!backend->health.IsAvoided()) {
       usable.push_back(backend);
       ids.push_back(backend->server.id);
     }
@@ -155,6 +146,45 @@
        LongHosts(this->service, ids, this->policy.long_slots_percent)) {
     usable[i]->long_host = true;
   }
+  const auto is_host = [](const PooledBackend* each) {
+    return each->long_host;
+  };
+  const auto hosts_end =
+      std::stable_partition(usable.begin(), usable.end(), is_host);
+  this->long_hosts = this->MakeNeighbourhood({usable.begin(), hosts_end});
+  this->apart_from_long = this->MakeNeighbourhood({hosts_end, usable.end()});
+  this->AssignLimits();
+}
+
+void BackendPool::AssignLimits() {
+  for (PooledBackend* backend : this->everywhere.all) {
+    backend->home = false;
+    backend->limit.Configure(backend->server.slots, 0);
+  }
+  const auto welcome = [](const Neighbourhood& area) {
+    const auto entries = static_cast<std::uint32_t>(area.entries_per_home);
+    for (PooledBackend* backend : area.homes) {
+      backend->home = true;
+      backend->limit.Configure(backend->server.slots,
+                               DivideUp(backend->server.slots, entries));
+    }
+  };
+  welcome(this->everywhere);
+  if (this->is_split) {
+    welcome(this->apart_from_long);
+    welcome(this->long_hosts);
+  }
+}
+
+void BackendPool::UpdateSplit(bool long_work, TimePoint now) {
+  if (long_work) {
+    this->split_until = now + kSplitMemory;
+  }
+  const bool split = now < this->split_until;
+  if (split != this->is_split) {
+    this->is_split = split;
+    this->AssignLimits();
+  }
 }
 
 bool BackendPool::HasSlot(const PooledBackend& backend,
@@ -189,9 +219,26 @@
   if (PooledBackend* trickle = this->PickTrickle(request, now)) {
     return trickle;
   }
-  PooledBackend* home = this->PickHome(request, now);
-  const bool spill = now >= this->spill_paused_until || this->homes.empty();
-  return home != nullptr || !spill ? home : this->PickOther(request, now);
+  const bool long_work = request.work_class == WorkClass::kLong;
+  this->UpdateSplit(long_work, now);
+  if (long_work) {
+    return this->PickIn(this->long_hosts, request, now);
+  }
+  if (this->is_split) {
+    if (PooledBackend* apart =
+            this->PickIn(this->apart_from_long, request, now)) {
+      return apart;
+    }
+  }
+  return this->PickIn(this->everywhere, request, now);
+}
+
+PooledBackend* BackendPool::PickIn(const Neighbourhood& area,
+                                   const PickRequest& request,
+                                   TimePoint now) {
+  PooledBackend* home = this->PickHome(area, request, now);
+  const bool spill = now >= this->spill_paused_until || area.homes.empty();
+  return home != nullptr || !spill ? home : this->PickOther(area, request, now);
 }
 
 // The occasional request that shows whether an avoided backend server is well
@@ -228,19 +275,23 @@
   PooledBackend* best = nullptr;
   for (PooledBackend* backend : this->listed) {
     if (this->HasSlot(*backend, request, now) &&
-        (best == nullptr || LoadOf(*backend) < LoadOf(*best))) {
+        (best == nullptr || backend->Load() < best->Load())) {
       best = backend;
     }
   }
   return best;
 }
 
-PooledBackend* BackendPool::PickHome(const PickRequest& request,
+// The least loaded home; among equals each in turn, so that all are known.
+PooledBackend* BackendPool::PickHome(const Neighbourhood& area,
+                                     const PickRequest& request,
                                      TimePoint now) {
   PooledBackend* best = nullptr;
-  for (PooledBackend* home : this->homes) {
+  ++this->home_turn;
+  for (std::size_t i = 0; i < area.homes.size(); ++i) {
+    PooledBackend* home = area.homes[(this->home_turn + i) % area.homes.size()];
     if (this->HasRoom(*home, request, now) && this->TakesTurn(*home, now) &&
-        (best == nullptr || LoadOf(*home) < LoadOf(*best))) {
+        (best == nullptr || home->Load() < best->Load())) {
       best = home;
     }
   }
@@ -260,25 +311,26 @@
       continue;
     }
     if (first != nullptr) {
-      return LoadOf(*candidate) < LoadOf(*first) ? candidate : first;
+      return candidate->Load() < first->Load() ? candidate : first;
     }
     first = candidate;
   }
   return first;
 }
 
-PooledBackend* BackendPool::PickOther(const PickRequest& request,
+PooledBackend* BackendPool::PickOther(const Neighbourhood& area,
+                                      const PickRequest& request,
                                       TimePoint now) {
-  for (const auto* among : {&this->nearby, &this->listed}) {
+  for (const auto* among : {&area.nearby, &area.all}) {
     PooledBackend* picked = this->PickLessLoaded(*among, request, now);
     if (picked != nullptr) {
       return picked;
     }
   }
-  const std::size_t count = this->listed.size();
+  const std::size_t count = area.all.size();
   const std::size_t start = count == 0 ? 0 : this->random.Below(count);
   for (std::size_t i = 0; i < count; ++i) {
-    PooledBackend* candidate = this->listed[(start + i) % count];
+    PooledBackend* candidate = area.all[(start + i) % count];
     if (this->HasRoom(*candidate, request, now)) {
       return candidate;
     }
@@ -395,7 +447,7 @@
   const bool was_avoided = backend.health.IsAvoided();
   this->health.Add(backend.health, evidence, now);
   if (backend.health.IsAvoided() != was_avoided) {
-    this->AssignLongHosts();
+    this->AssignHosts();
   }
 }
 
@@ -421,76 +473,23 @@
   return next;
 }
 
-std::vector<schema::BackendEvidenceT> BackendPool::TakeEvidence(
-    TimePoint /*now*/) {
+std::vector<schema::BackendEvidenceT> BackendPool::TakeEvidence() {
   std::vector<schema::BackendEvidenceT> evidence;
   for (PooledBackend* backend : this->listed) {
-    schema::BackendEvidenceT item;
-    item.service = this->service.Value();
-    item.address = backend->server.id.Value();
-    item.attempts = backend->counts.attempts;
-    item.failures = backend->counts.failures;
-    item.slow = backend->counts.slow;
-    item.refused = backend->counts.refused;
-    item.median_latency_us = static_cast<std::uint64_t>(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            backend->health.latencies[IndexOf(WorkClass::kShort)].Median())
-            .count());
-    item.avoided = backend->health.IsAvoided();
-    item.leaving = backend->said_leaving;
-    item.in_flight = backend->InFlight();
-    backend->counts = {};
+    schema::BackendEvidenceT item = backend->TakeEvidence();
     if (item.attempts + item.failures + item.refused + item.in_flight > 0 ||
         item.leaving || item.avoided) {
+      item.service = this->service.Value();
       evidence.push_back(std::move(item));
     }
   }
   return evidence;
 }
 
-std::string BackendPool::Describe(const PooledBackend& backend,
-                                  TimePoint now) const {
-  if (backend.ejected) {
-    return "ejected by the fleet";
-  }
-  if (backend.leaving || backend.said_leaving) {
-    return backend.leaving ? "leaving" : "leaving, by its own word";
-  }
-  std::ostringstream text;
-  switch (backend.health.State(now)) {
-    case BackendHealth::Condition::kAvoided:
-      text << "avoided for " << backend.health.Reason() << ", relapses "
-           << backend.health.Relapses();
-      break;
-    case BackendHealth::Condition::kReturning:
-      text << "returning at weight " << backend.health.Weight(now);
-      break;
-    case BackendHealth::Condition::kHealthy:
-      text << (backend.slow_start.Weight(now) < 1 ? "warming up"
-                                                  : "in service");
-  }
-  if (backend.limit.ClosedUntil() > now) {
-    text << ", refused work just now";
-  }
-  return text.str();
-}
-
 std::vector<std::string> BackendPool::Explain(TimePoint now) const {
   std::vector<std::string> lines;
   for (const PooledBackend* backend : this->listed) {
-    const LatencyWindow& window =
-        backend->health.latencies[IndexOf(WorkClass::kShort)];
-    const auto median =
-        std::chrono::duration_cast<std::chrono::milliseconds>(window.Median());
-    std::ostringstream line;
-    line << backend->server.id.Value() << " " << this->Describe(*backend, now)
-         << "; in flight " << backend->InFlight() << " of limit "
-         << backend->limit.Limit() << ", slots " << backend->server.slots
-         << ", median latency " << median.count() << " ms, bad outcomes "
-         << static_cast<int>(100 * backend->health.Badness()) << "%"
-         << (backend->home ? ", home" : "")
-         << (backend->long_host ? ", takes long work" : "");
-    lines.push_back(line.str());
+    lines.push_back(backend->Explain(now));
   }
   return lines;
 }
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -8,7 +8,6 @@
 #ifndef SRC_BACKEND_POOL_H_
 #define SRC_BACKEND_POOL_H_
 
-#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -17,49 +16,14 @@
 #include <vector>
 
 #include "src/clock.h"
-#include "src/concurrency_limit.h"
 #include "src/dispatcher.h"
 #include "src/ids.h"
+#include "src/pooled_backend.h"
 #include "src/random_source.h"
 #include "src/service_health.h"
-#include "src/slow_start.h"
 
 namespace acacia {
 
-// Counts since the last evidence was taken.
-struct EvidenceCounts {
-  std::uint32_t attempts = 0;
-  std::uint32_t failures = 0;
-  std::uint32_t slow = 0;
-  std::uint32_t refused = 0;
-};
-
-struct PooledBackend {
-  BackendServer server;
-  bool in_view = false;
-  bool ejected = false;
-  // By the view, and by its own word.
-  bool leaving = false;
-  bool said_leaving = false;
-  // The view has confirmed that it is leaving.
-  bool leaving_confirmed = false;
-  TimePoint said_leaving_at{};
-  bool home = false;
-  bool long_host = false;
-  std::array<std::uint32_t, kWorkClassCount> in_flight{};
-  // Attempts in flight that have taken longer than SlowAfter.
-  std::uint32_t overdue = 0;
-  ConcurrencyLimit limit;
-  SlowStart slow_start;
-  BackendHealth health;
-  EvidenceCounts counts;
-
-  std::uint32_t InFlight() const;
-  bool IsInService() const;
-  // Share of its usual requests that it should get now.
-  double Weight(TimePoint now) const;
-};
-
 // How an attempt went, as far as its backend server is concerned.
 struct AttemptOutcome {
   WorkClass work_class = WorkClass::kShort;
@@ -76,6 +40,22 @@
   const std::vector<BackendId>& excluded;
 };
 
+// The backend servers that one kind of work may use, in order of preference.
+struct Neighbourhood {
+  std::vector<PooledBackend*> homes;
+  std::vector<PooledBackend*> nearby;
+  std::vector<PooledBackend*> all;
+  std::size_t entries_per_home = 1;
+};
+
+// What homes and the split follow from; most views change nothing of it.
+struct RoleInputs {
+  std::vector<BackendServer> servers;
+  std::vector<InstanceId> entries;
+  std::uint32_t long_slots_percent = 0;
+  bool operator==(const RoleInputs&) const = default;
+};
+
 class BackendPool {
  public:
   BackendPool(ServiceName service, InstanceId self, RandomSource& random);
@@ -106,18 +86,25 @@
   // When a backend server that is closed for the moment opens again.
   std::optional<TimePoint> NextOpening(TimePoint now) const;
 
-  std::vector<schema::BackendEvidenceT> TakeEvidence(TimePoint now);
+  std::vector<schema::BackendEvidenceT> TakeEvidence();
   std::vector<std::string> Explain(TimePoint now) const;
 
  private:
   PooledBackend* PickTrickle(const PickRequest& request, TimePoint now);
   PooledBackend* PickAvoided(const PickRequest& request, TimePoint now);
   bool TakesTurn(const PooledBackend& backend, TimePoint now);
-  PooledBackend* PickHome(const PickRequest& request, TimePoint now);
+  PooledBackend* PickIn(const Neighbourhood& area,
+                        const PickRequest& request,
+                        TimePoint now);
+  PooledBackend* PickHome(const Neighbourhood& area,
+                          const PickRequest& request,
+                          TimePoint now);
   PooledBackend* PickLessLoaded(const std::vector<PooledBackend*>& among,
                                 const PickRequest& request,
                                 TimePoint now);
-  PooledBackend* PickOther(const PickRequest& request, TimePoint now);
+  PooledBackend* PickOther(const Neighbourhood& area,
+                           const PickRequest& request,
+                           TimePoint now);
   bool HasAnyUnavoided() const;
   // Apart from health.
   bool HasSlot(const PooledBackend& backend,
@@ -132,11 +119,14 @@
   void DropGone();
   // Chooses homes and the backend servers that take long work.
   void AssignRoles(TimePoint now);
-  void AssignLongHosts();
+  void AssignHosts();
+  Neighbourhood MakeNeighbourhood(std::vector<PooledBackend*> backends) const;
+  void AssignLimits();
+  // Splits the service while long work is about.
+  void UpdateSplit(bool long_work, TimePoint now);
   void AddEvidence(PooledBackend& backend,
                    const AttemptEvidence& evidence,
                    TimePoint now);
-  std::string Describe(const PooledBackend& backend, TimePoint now) const;
 
   ServiceName service;
   InstanceId self;
@@ -148,8 +138,15 @@
   std::unordered_map<BackendId, std::unique_ptr<PooledBackend>> backends;
   // Those in the view.
   std::vector<PooledBackend*> listed;
-  std::vector<PooledBackend*> homes;
-  std::vector<PooledBackend*> nearby;
+  // Where any short work may go; where it goes first while there is long work;
+  // where long work goes.
+  RoleInputs role_inputs;
+  Neighbourhood everywhere;
+  Neighbourhood apart_from_long;
+  Neighbourhood long_hosts;
+  bool is_split = false;
+  TimePoint split_until{};
+  std::size_t home_turn = 0;
   TimePoint spill_paused_until{};
 };
 
