--- a/src/acaciactl.h
+++ b/src/acaciactl.h
@@ -4,6 +4,7 @@
 #define SRC_ACACIACTL_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <chrono>
 #include <iosfwd>
 #include <optional>
 #include <string>
@@ -36,9 +37,16 @@
   std::string target;
 };
 
+// Time between a failed platform request and the next try; doubles each time.
+struct PublishPacing {
+  std::chrono::milliseconds first_delay{50};
+  std::chrono::milliseconds max_delay{2000};
+};
+
 // Publishes a file set through the platform. `platform` must outlive the call.
 boost::asio::awaitable<PublishOutcome> Publish(PlatformClient& platform,
-                                               PublishRequest request);
+                                               PublishRequest request,
+                                               PublishPacing pacing = {});
 
 // Each prints to `out` and returns an exit code.
 int Validate(const std::string& folder, std::ostream& out, std::ostream& err);
--- a/src/config_apply.cc
+++ b/src/config_apply.cc
@@ -10,23 +10,22 @@
 namespace net = boost::asio;
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
-constexpr std::chrono::milliseconds kFirstRetryDelay{50};
-constexpr std::chrono::milliseconds kMaxRetryDelay{2000};
 
 // Carries out a publisher's actions, several at once. Shared by the coroutines
 // of the actions, which may outlive the call when the outcome is known.
 struct Run : std::enable_shared_from_this<Run> {
   Run(PlatformClient& platform,
       const PublishRequest& request,
+      const PublishPacing& pacing,
       const net::any_io_executor& executor)
-      : platform(platform), publisher(request), done(executor) {
+      : platform(platform), publisher(request), pacing(pacing), done(executor) {
     this->done.expires_at(net::steady_timer::time_point::max());
   }
 
   PlatformClient& platform;
   ConfigPublisher publisher;
+  PublishPacing pacing;
   net::steady_timer done;
-  std::chrono::milliseconds retry_delay = kFirstRetryDelay;
   std::size_t pending = 0;
 
   void CarryOut(PublisherActions actions);
@@ -78,8 +77,9 @@
     co_return;
   }
   net::steady_timer timer(this->done.get_executor());
-  timer.expires_after(this->retry_delay);
-  this->retry_delay = std::min(this->retry_delay * 2, kMaxRetryDelay);
+  timer.expires_after(this->pacing.first_delay);
+  this->pacing.first_delay =
+      std::min(this->pacing.first_delay * 2, this->pacing.max_delay);
   co_await timer.async_wait(kAwait);
 }
 
@@ -112,9 +112,10 @@
 }  // namespace
 
 net::awaitable<PublishOutcome> Publish(PlatformClient& platform,
-                                       PublishRequest request) {
+                                       PublishRequest request,
+                                       PublishPacing pacing) {
   const auto executor = co_await net::this_coro::executor;
-  const auto run = std::make_shared<Run>(platform, request, executor);
+  const auto run = std::make_shared<Run>(platform, request, pacing, executor);
   run->CarryOut(run->publisher.Start());
   if (run->pending > 0) {
     co_await run->done.async_wait(kAwait);
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -163,20 +163,20 @@
   std::map<std::string, CachedList> lists;
 
   // Waits for a turn; false when none came in time.
-  net::awaitable<bool> TakeTurn();
+  net::awaitable<bool> TakeTurn(TimePoint until);
   void GiveTurn();
   Connection TakeConnection();
   net::awaitable<Reply> SendOnce(HttpRequest request, TimePoint until);
   net::awaitable<Reply> Send(PlatformOperation operation, HttpRequest request);
 };
 
-net::awaitable<bool> PlatformClient::State::TakeTurn() {
+net::awaitable<bool> PlatformClient::State::TakeTurn(TimePoint until) {
   if (this->open < this->options.max_connections) {
     ++this->open;
     co_return true;
   }
   net::steady_timer timer(co_await net::this_coro::executor);
-  timer.expires_after(this->options.timeout);
+  timer.expires_after(until - this->clock.Now());
   this->waiting.push_back(&timer);
   // GiveTurn takes the timer off the queue and cancels it.
   co_await timer.async_wait(kAwait);
@@ -208,12 +208,13 @@
 
 net::awaitable<Reply> PlatformClient::State::SendOnce(HttpRequest request,
                                                       TimePoint until) {
-  const Duration left = until - this->clock.Now();
-  if (left <= Duration::zero()) {
+  const bool has_turn = co_await this->TakeTurn(until);
+  if (!has_turn) {
     co_return tl::unexpected(HttpClientError::kNotSent);
   }
-  const bool has_turn = co_await this->TakeTurn();
-  if (!has_turn) {
+  const Duration left = until - this->clock.Now();
+  if (left <= Duration::zero()) {
+    this->GiveTurn();
     co_return tl::unexpected(HttpClientError::kNotSent);
   }
   Connection connection = this->TakeConnection();
