--- a/src/file_set_check.cc
+++ b/src/file_set_check.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t kMaxNameBytes = 128;
+constexpr std::size_t kMaxErrors = 2000;
 constexpr std::uint32_t kMaxSlots = 100000;
 constexpr std::uint32_t kMaxConnections = 1000000;
 constexpr std::uint32_t kMaxQueueLength = 1000000;
@@ -62,6 +63,9 @@
 }
 
 std::string Quoted(const std::string& text) {
+  if (text.size() > kMaxNameBytes) {
+    return "\"" + text.substr(0, kMaxNameBytes) + "...\"";
+  }
   return "\"" + text + "\"";
 }
 
@@ -119,10 +123,12 @@
   template <typename T>
   void Report(const Placed<T>& at,
               const std::string& field,
-              std::string message,
+              const std::string& message,
               std::string hint) {
-    this->errors.push_back(at.lines->MakeError(
-        at.path + "." + field, std::move(message), std::move(hint)));
+    if (this->errors.size() < kMaxErrors) {
+      this->errors.push_back(
+          at.lines->MakeError(at.path + "." + field, message, std::move(hint)));
+    }
   }
 
   template <typename T>
--- a/src/framed_stream.cc
+++ b/src/framed_stream.cc
@@ -1,5 +1,6 @@
 #include "src/framed_stream.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/endian/conversion.hpp>
@@ -13,6 +14,8 @@
 using Header = std::array<unsigned char, sizeof(std::uint32_t)>;
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+// A frame's memory grows with what has arrived, not with the length announced.
+constexpr std::size_t kReadStepBytes = 256 * 1024;
 
 }  // namespace
 
@@ -28,11 +31,16 @@
   if (length > kMaxFrameBytes) {
     co_return tl::unexpected(FrameError::kTooLarge);
   }
-  std::string bytes(length, '\0');
-  const auto [body_error, body_read] =
-      co_await net::async_read(socket, net::buffer(bytes), kAwait);
-  if (body_error) {
-    co_return tl::unexpected(FrameError::kClosed);
+  std::string bytes;
+  while (bytes.size() < length) {
+    const std::size_t begin = bytes.size();
+    bytes.resize(std::min<std::size_t>(length, begin + kReadStepBytes));
+    const auto [body_error, body_read] = co_await net::async_read(
+        socket, net::buffer(bytes.data() + begin, bytes.size() - begin),
+        kAwait);
+    if (body_error) {
+      co_return tl::unexpected(FrameError::kClosed);
+    }
   }
   co_return bytes;
 }
--- a/src/json_lines.cc
+++ b/src/json_lines.cc
@@ -1,6 +1,7 @@
 #include "src/json_lines.h"
 
 #include <boost/json/basic_parser_impl.hpp>
+#include <cctype>
 #include <utility>
 #include <vector>
 
@@ -11,6 +12,7 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::size_t kMaxQuotedBytes = 60;
+constexpr std::size_t kMaxClippedBytes = 300;
 constexpr std::size_t kMaxDuplicateKeys = 100;
 
 // Receives the parser's events. The text is fed line by line, so the current
@@ -146,6 +148,17 @@
   return options;
 }
 
+// One line of bounded length.
+std::string Clip(std::string_view text) {
+  std::string clipped(text.substr(0, kMaxClippedBytes));
+  for (char& c : clipped) {
+    if (std::iscntrl(static_cast<unsigned char>(c)) != 0) {
+      c = '?';
+    }
+  }
+  return text.size() > kMaxClippedBytes ? clipped + "..." : clipped;
+}
+
 std::string_view Line(std::string_view text) {
   const std::size_t end = text.find('\n');
   return end == std::string_view::npos ? text : text.substr(0, end + 1);
@@ -159,7 +172,7 @@
   if (begin == std::string_view::npos) {
     return "the text ends here or a bracket is missing";
   }
-  return "near: " + std::string(line.substr(begin, kMaxQuotedBytes)) +
+  return "near: " + Clip(line.substr(begin, kMaxQuotedBytes)) +
          "; look for a missing comma, quote or bracket here and just before";
 }
 
@@ -185,7 +198,8 @@
     parser.write_some(false, "", 0, error);
   }
   for (auto& [path, at] : handler.duplicates) {
-    this->errors.push_back({this->file, at, path, "this field stands twice",
+    this->errors.push_back({this->file, at, Clip(path),
+                            "this field stands twice",
                             "remove one of the two"});
   }
   if (error) {
@@ -210,11 +224,10 @@
   }
 }
 
-UserError JsonLines::MakeError(std::string path,
-                               std::string message,
+UserError JsonLines::MakeError(const std::string& path,
+                               const std::string& message,
                                std::string hint) const {
-  const int line = this->LineOf(path);
-  return {this->file, line, std::move(path), std::move(message),
+  return {this->file, this->LineOf(path), Clip(path), Clip(message),
           std::move(hint)};
 }
 
--- a/src/json_lines.h
+++ b/src/json_lines.h
@@ -24,9 +24,10 @@
   // The line of the value, or of the nearest value around it; from 1.
   int LineOf(std::string path) const;
   const std::string& File() const { return this->file; }
-  // An error at a path of this text.
-  UserError MakeError(std::string path,
-                      std::string message,
+  // An error at a path of this text. What the user wrote is cut to a length
+  // that can be read, on one line.
+  UserError MakeError(const std::string& path,
+                      const std::string& message,
                       std::string hint) const;
 
  private:
