--- a/test/performance/route_lookup.cc
+++ b/test/performance/route_lookup.cc
@@ -1,4 +1,5 @@
 // Prints the time of one route lookup against the number of routes.
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <random>
@@ -13,7 +14,8 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr int kLookups = 1000000;
+constexpr int kLookups = 200000;
+constexpr int kMeasureRounds = 7;
 constexpr int kHosts = 250;
 
 std::string HostOf(int i) {
@@ -41,10 +43,10 @@
   std::string path;
 };
 
-// Nanoseconds per lookup; every result is checked.
-double Measure(const Router& router,
-               const std::vector<Query>& queries,
-               bool expect_route) {
+// Nanoseconds per lookup in one round; every result is checked.
+double MeasureOnce(const Router& router,
+                   const std::vector<Query>& queries,
+                   bool expect_route) {
   const auto began = SteadyClock::now();
   for (int i = 0; i < kLookups; ++i) {
     const Query& query = queries[static_cast<std::size_t>(i) % queries.size()];
@@ -59,6 +61,17 @@
   return spent.count() / kLookups;
 }
 
+// The least of several rounds, which other work on the machine disturbs least.
+double Measure(const Router& router,
+               const std::vector<Query>& queries,
+               bool expect_route) {
+  double least = MeasureOnce(router, queries, expect_route);
+  for (int i = 1; i < kMeasureRounds; ++i) {
+    least = std::min(least, MeasureOnce(router, queries, expect_route));
+  }
+  return least;
+}
+
 void Run() {
   std::puts("| routes | build ms | found ns | no route ns |");
   std::puts("|---:|---:|---:|---:|");
--- a/test/performance/validate_scale.cc
+++ b/test/performance/validate_scale.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -106,8 +107,11 @@
   WriteRoutes(folder, routes);
   WriteAccounts(folder, accounts);
   const auto began = SteadyClock::now();
+  const std::clock_t cpu_began = std::clock();
   auto file_set = ReadFileSet(folder.string());
   const double validate = MillisecondsSince(began);
+  const double validate_cpu =
+      static_cast<double>(std::clock() - cpu_began) * 1000 / CLOCKS_PER_SEC;
   std::filesystem::remove_all(folder);
   if (!file_set) {
     std::puts(DescribeAll(file_set.error()).c_str());
@@ -128,8 +132,8 @@
   const double second =
       TimeApply(context, address, clock, std::move(changed), "b");
   const std::uint64_t second_writes = platform.Counters().writes - first_writes;
-  std::printf("| %d | %d | %.0f | %.0f | %lu | %.0f | %lu | %.0f |\n", routes,
-              accounts, validate, first,
+  std::printf("| %d | %d | %.0f | %.0f | %.0f | %lu | %.0f | %lu | %.0f |\n",
+              routes, accounts, validate, validate_cpu, first,
               static_cast<unsigned long>(first_writes), second,
               static_cast<unsigned long>(second_writes), PeakMegabytes());
 }
@@ -139,9 +143,10 @@
 
 int main() {
   std::puts(
-      "| routes | accounts | validate ms | first apply ms | writes | apply of "
+      "| routes | accounts | validate ms | of it processor ms | first apply ms "
+      "| writes | apply of "
       "one changed route ms | writes | peak MB |");
-  std::puts("|---:|---:|---:|---:|---:|---:|---:|---:|");
+  std::puts("|---:|---:|---:|---:|---:|---:|---:|---:|---:|");
   acacia::Measure(100, 100);
   acacia::Measure(2600, 4200);
   acacia::Measure(26000, 42000);
