Check settings as whole and name the line of each mistake

Names, zero intervals, and an entry link outside the instance are refused before anything opens. Mistakes of schema and values are listed together.

--- a/src/file_set.cc
+++ b/src/file_set.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <filesystem>
 #include <iterator>
-#include <set>
 #include <utility>
 
 #include "src/generated/file_set_bfbs_generated.h"
@@ -67,22 +66,6 @@
   to->insert(to->end(), from.begin(), from.end());
 }
 
-// Leaves one error per field: the first found, which the others follow from.
-UserErrors OnePerField(const UserErrors& errors) {
-  std::set<std::pair<std::string, std::string>> seen;
-  UserErrors kept;
-  for (const UserError& error : errors) {
-    if (error.field.empty() || seen.emplace(error.file, error.field).second) {
-      kept.push_back(error);
-    }
-  }
-  std::stable_sort(kept.begin(), kept.end(),
-                   [](const UserError& a, const UserError& b) {
-                     return std::tie(a.file, a.line) < std::tie(b.file, b.line);
-                   });
-  return kept;
-}
-
 tl::expected<schema::FileSetT, UserErrors> Parse(
     const std::vector<NamedText>& files,
     UserErrors errors) {
--- a/src/file_set_check.cc
+++ b/src/file_set_check.cc
@@ -6,12 +6,12 @@
 
 #include "src/file_set.h"
 #include "src/lower_case.h"
+#include "src/name.h"
 #include "src/socket_address.h"
 
 namespace acacia {
 namespace {
 
-constexpr std::size_t kMaxNameBytes = 128;
 constexpr std::size_t kMaxErrors = 2000;
 constexpr std::uint32_t kMaxSlots = 100000;
 constexpr std::uint32_t kMaxConnections = 1000000;
@@ -19,22 +19,6 @@
 constexpr std::uint32_t kMaxPercent = 100;
 constexpr std::uint32_t kMaxDurationMs = 7 * 24 * 3600 * 1000;
 
-bool IsAlphanumeric(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         (c >= '0' && c <= '9');
-}
-
-bool IsMadeOf(const std::string& text, std::string_view punctuation) {
-  return std::all_of(text.begin(), text.end(), [&](char c) {
-    return IsAlphanumeric(c) || punctuation.find(c) != std::string_view::npos;
-  });
-}
-
-bool IsName(const std::string& text) {
-  return !text.empty() && text.size() <= kMaxNameBytes &&
-         IsAlphanumeric(text.front()) && IsMadeOf(text, "._-");
-}
-
 // The characters that a path may hold by RFC 3986, without query and fragment.
 bool IsPathPrefix(const std::string& text) {
   return text.starts_with('/') && IsMadeOf(text, "/-._~!$&'()*+,;=:@%");
@@ -149,9 +133,7 @@
                  const std::string& field,
                  const std::string& name) {
     if (!IsName(name)) {
-      this->Report(at, field, Quoted(name) + " is not a name",
-                   "use 1 to 128 letters, digits, '.', '_' and '-', beginning "
-                   "with a letter or digit");
+      this->Report(at, field, Quoted(name) + " is not a name", kNameHint);
     }
   }
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -1,68 +1,112 @@
 #include "src/settings.h"
 
+#include <utility>
 #include <vector>
 
 #include "src/generated/settings_bfbs_generated.h"
 #include "src/json_schema.h"
+#include "src/name.h"
 #include "src/socket_address.h"
 
 namespace acacia {
 namespace {
 
-// A field that must hold an address, and whether it may be empty.
-struct AddressField {
-  std::string name;
-  const std::string& value;
-  bool optional = false;
+// One mistake in a value: the field's path, what is wrong, what to do.
+struct Mistake {
+  std::string field;
+  std::string message;
+  std::string hint;
 };
 
-UserErrors CheckAddresses(const std::string& file,
-                          const std::vector<AddressField>& fields) {
-  UserErrors errors;
-  for (const AddressField& field : fields) {
-    if (field.optional && field.value.empty()) {
-      continue;
+// Collects the mistakes of one settings table.
+class SettingsChecker {
+ public:
+  SettingsChecker& Address(const std::string& field, const std::string& value) {
+    if (!ParseSocketAddress(value)) {
+      this->Report(field, "\"" + value + "\" is not an address",
+                   "write ip:port, for example 127.0.0.1:8080");
     }
-    if (!ParseSocketAddress(field.value)) {
-      errors.push_back({file, 0, field.name,
-                        "\"" + field.value + "\" is not an address",
-                        "write ip:port, for example 127.0.0.1:8080"});
+    return *this;
+  }
+
+  SettingsChecker& Addresses(const std::string& field,
+                             const std::vector<std::string>& values) {
+    std::size_t position = 0;
+    for (const std::string& value : values) {
+      this->Address(field + "[" + std::to_string(position++) + "]", value);
     }
+    return *this;
   }
-  return errors;
-}
 
-template <typename Table>
-tl::expected<typename Table::NativeTableType, UserErrors> ReadTable(
-    const std::string& file) {
+  SettingsChecker& OptionalAddress(const std::string& field,
+                                   const std::string& value) {
+    return value.empty() ? *this : this->Address(field, value);
+  }
+
+  // The stream between agent and entry stays within the instance.
+  SettingsChecker& LoopbackAddress(const std::string& field,
+                                   const std::string& value) {
+    const auto address = ParseSocketAddress(value);
+    if (address && !address->address.is_loopback()) {
+      this->Report(field, "\"" + value + "\" is not a loopback address",
+                   "agent and entry of one instance meet on 127.0.0.1");
+    }
+    return this->Address(field, value);
+  }
+
+  SettingsChecker& Name(const std::string& field, const std::string& value) {
+    if (!IsName(value)) {
+      this->Report(field, "\"" + value + "\" is not a name", kNameHint);
+    }
+    return *this;
+  }
+
+  SettingsChecker& AtLeast(const std::string& field,
+                           std::uint64_t value,
+                           std::uint64_t min) {
+    if (value < min) {
+      this->Report(field, std::to_string(value) + " is out of range",
+                   "write at least " + std::to_string(min));
+    }
+    return *this;
+  }
+
+  const std::vector<Mistake>& Mistakes() const { return this->mistakes; }
+
+ private:
+  void Report(const std::string& field, std::string message, std::string hint) {
+    this->mistakes.push_back({field, std::move(message), std::move(hint)});
+  }
+
+  std::vector<Mistake> mistakes;
+};
+
+// Reads a table and checks its values with `check`; lists the mistakes of both.
+template <typename Table, typename Check>
+tl::expected<typename Table::NativeTableType, UserErrors> ReadChecked(
+    const std::string& file,
+    Check check) {
   const auto text = ReadTextFile(file);
   if (!text) {
     return tl::unexpected(text.error());
   }
   const BinarySchema schema{schema::EntrySettingsBinarySchema::data(),
                             schema::EntrySettingsBinarySchema::size()};
-  const auto bytes =
-      ParseJsonTable(schema, Table::GetFullyQualifiedName(), file, *text);
-  if (!bytes) {
-    return tl::unexpected(bytes.error());
+  JsonTable table =
+      ReadJsonTable(schema, Table::GetFullyQualifiedName(), file, *text);
+  if (table.bytes.empty()) {
+    return tl::unexpected(std::move(table.errors));
   }
   typename Table::NativeTableType settings;
-  flatbuffers::GetRoot<Table>(bytes->data())->UnPackTo(&settings);
-  return settings;
-}
-
-// Reads a table, then checks the address fields that `fields_of` names.
-template <typename Table, typename FieldsOf>
-tl::expected<typename Table::NativeTableType, UserErrors> ReadChecked(
-    const std::string& file,
-    FieldsOf fields_of) {
-  auto settings = ReadTable<Table>(file);
-  if (!settings) {
-    return settings;
+  flatbuffers::GetRoot<Table>(table.bytes.data())->UnPackTo(&settings);
+  SettingsChecker checker;
+  check(settings, &checker);
+  for (const Mistake& mistake : checker.Mistakes()) {
+    table.errors.push_back(
+        table.lines.MakeError(mistake.field, mistake.message, mistake.hint));
   }
-  const UserErrors errors = CheckAddresses(file, fields_of(*settings));
-  if (!errors.empty()) {
-    return tl::unexpected(errors);
+  if (!table.errors.empty()) {
+    return tl::unexpected(OnePerField(table.errors));
   }
   return settings;
 }
@@ -72,73 +116,76 @@
 tl::expected<schema::EntrySettingsT, UserErrors> ReadEntrySettings(
     const std::string& file) {
   return ReadChecked<schema::EntrySettings>(
-      file, [](const schema::EntrySettingsT& settings) {
-        return std::vector<AddressField>{
-            {"caller_listen", settings.caller_listen},
-            {"caller_advertise", settings.caller_advertise, true},
-            {"operator_listen", settings.operator_listen},
-            {"agent_address", settings.agent_address}};
+      file, [](const schema::EntrySettingsT& settings, SettingsChecker* check) {
+        check->Name("instance", settings.instance)
+            .Name("failure_domain", settings.failure_domain)
+            .Address("caller_listen", settings.caller_listen)
+            .OptionalAddress("caller_advertise", settings.caller_advertise)
+            .Address("operator_listen", settings.operator_listen)
+            .LoopbackAddress("agent_address", settings.agent_address)
+            .AtLeast("worker_threads", settings.worker_threads, 1)
+            .AtLeast("answer_lifetime_ms", settings.answer_lifetime_ms, 1)
+            .AtLeast("max_header_bytes", settings.max_header_bytes, 1024)
+            .AtLeast("max_caller_connections", settings.max_caller_connections,
+                     1)
+            .AtLeast("idle_caller_timeout_ms", settings.idle_caller_timeout_ms,
+                     1);
       });
 }
 
 tl::expected<schema::AgentSettingsT, UserErrors> ReadAgentSettings(
     const std::string& file) {
   return ReadChecked<schema::AgentSettings>(
-      file, [](const schema::AgentSettingsT& settings) {
-        std::vector<AddressField> fields{
-            {"peer_listen", settings.peer_listen},
-            {"peer_advertise", settings.peer_advertise, true},
-            {"entry_listen", settings.entry_listen},
-            {"caller_advertise", settings.caller_advertise},
-            {"operator_listen", settings.operator_listen},
-            {"platform_address", settings.platform_address}};
-        for (std::size_t i = 0; i < settings.seed_peers.size(); ++i) {
-          fields.push_back({"seed_peers[" + std::to_string(i) + "]",
-                            settings.seed_peers[i]});
-        }
-        return fields;
+      file, [](const schema::AgentSettingsT& settings, SettingsChecker* check) {
+        check->Name("instance", settings.instance)
+            .Name("failure_domain", settings.failure_domain)
+            .Address("peer_listen", settings.peer_listen)
+            .OptionalAddress("peer_advertise", settings.peer_advertise)
+            .LoopbackAddress("entry_listen", settings.entry_listen)
+            .Address("caller_advertise", settings.caller_advertise)
+            .Address("operator_listen", settings.operator_listen)
+            .Address("platform_address", settings.platform_address)
+            .AtLeast("tick_ms", settings.tick_ms, 1)
+            .AtLeast("answer_lifetime_ms", settings.answer_lifetime_ms, 1)
+            .Addresses("seed_peers", settings.seed_peers);
       });
 }
 
 tl::expected<schema::PlatformStandinSettingsT, UserErrors>
 ReadPlatformStandinSettings(const std::string& file) {
   return ReadChecked<schema::PlatformStandinSettings>(
-      file, [](const schema::PlatformStandinSettingsT& settings) {
-        return std::vector<AddressField>{{"listen", settings.listen}};
+      file, [](const schema::PlatformStandinSettingsT& settings,
+               SettingsChecker* check) {
+        check->Address("listen", settings.listen);
       });
 }
 
 tl::expected<schema::BackendStandinSettingsT, UserErrors>
 ReadBackendStandinSettings(const std::string& file) {
   return ReadChecked<schema::BackendStandinSettings>(
-      file, [](const schema::BackendStandinSettingsT& settings) {
-        return std::vector<AddressField>{{"listen", settings.listen}};
+      file, [](const schema::BackendStandinSettingsT& settings,
+               SettingsChecker* check) {
+        check->Address("listen", settings.listen);
       });
 }
 
 tl::expected<schema::FaultProxySettingsT, UserErrors> ReadFaultProxySettings(
     const std::string& file) {
   return ReadChecked<schema::FaultProxySettings>(
-      file, [](const schema::FaultProxySettingsT& settings) {
-        return std::vector<AddressField>{
-            {"listen", settings.listen},
-            {"target", settings.target},
-            {"operator_listen", settings.operator_listen}};
+      file,
+      [](const schema::FaultProxySettingsT& settings, SettingsChecker* check) {
+        check->Address("listen", settings.listen)
+            .Address("target", settings.target)
+            .Address("operator_listen", settings.operator_listen);
       });
 }
 
 tl::expected<schema::LoadSettingsT, UserErrors> ReadLoadSettings(
     const std::string& file) {
   return ReadChecked<schema::LoadSettings>(
-      file, [](const schema::LoadSettingsT& settings) {
-        std::vector<AddressField> fields;
-        for (const std::string& entry : settings.entries) {
-          fields.push_back({"entries", entry});
-        }
-        for (const std::string& ledger : settings.ledgers) {
-          fields.push_back({"ledgers", ledger});
-        }
-        return fields;
+      file, [](const schema::LoadSettingsT& settings, SettingsChecker* check) {
+        check->Addresses("entries", settings.entries)
+            .Addresses("ledgers", settings.ledgers);
       });
 }
 
--- a/src/user_error.cc
+++ b/src/user_error.cc
@@ -1,5 +1,10 @@
 #include "src/user_error.h"
 
+#include <algorithm>
+#include <set>
+#include <tuple>
+#include <utility>
+
 namespace acacia {
 
 std::string UserError::Describe() const {
@@ -26,4 +31,19 @@
   return text;
 }
 
+UserErrors OnePerField(const UserErrors& errors) {
+  std::set<std::pair<std::string, std::string>> seen;
+  UserErrors kept;
+  for (const UserError& error : errors) {
+    if (error.field.empty() || seen.emplace(error.file, error.field).second) {
+      kept.push_back(error);
+    }
+  }
+  std::stable_sort(kept.begin(), kept.end(),
+                   [](const UserError& a, const UserError& b) {
+                     return std::tie(a.file, a.line) < std::tie(b.file, b.line);
+                   });
+  return kept;
+}
+
 }  // namespace acacia
--- a/src/user_error.h
+++ b/src/user_error.h
@@ -27,6 +27,10 @@
 
 std::string DescribeAll(const UserErrors& errors);
 
+// Keeps one error per field, the first found, which the others follow from;
+// sorted by file and line.
+UserErrors OnePerField(const UserErrors& errors);
+
 }  // namespace acacia
 
 #endif  // SRC_USER_ERROR_H_
--- a/test/error/settings_test.cc
+++ b/test/error/settings_test.cc
@@ -52,5 +52,28 @@
   CHECK(address.error()[0].field == "listen");
 }
 
+TEST_CASE(
+    "every mistaken value of the agent's settings is told with its line") {
+  const auto settings = ReadAgentSettings(WriteTemporary(R"({
+    "instance": "an instance",
+    "failure_domain": "a",
+    "peer_listen": "0.0.0.0:1",
+    "entry_listen": "10.0.0.1:2",
+    "caller_advertise": "caller:3",
+    "operator_listen": "127.0.0.1",
+    "tick_ms": 0,
+    "seed_peers": ["10.0.0.2:1", "x"],
+  })"));
+  REQUIRE_FALSE(settings);
+  std::string found;
+  for (const UserError& error : settings.error()) {
+    found += std::to_string(error.line) + " " + error.field + "\n";
+  }
+  CHECK(found ==
+        "1 platform_address\n2 instance\n5 entry_listen\n"
+        "6 caller_advertise\n7 operator_listen\n8 tick_ms\n"
+        "9 seed_peers[1]\n");
+}
+
 }  // namespace
 }  // namespace acacia
