--- a/src/file_set_check.cc
+++ b/src/file_set_check.cc
@@ -6,34 +6,19 @@
 
 #include "src/file_set.h"
 #include "src/lower_case.h"
+#include "src/name.h"
 #include "src/socket_address.h"
 
 namespace acacia {
 namespace {
 
-constexpr std::size_t kMaxNameBytes = 128;
+constexpr std::size_t kMaxErrors = 2000;
 constexpr std::uint32_t kMaxSlots = 100000;
 constexpr std::uint32_t kMaxConnections = 1000000;
 constexpr std::uint32_t kMaxQueueLength = 1000000;
 constexpr std::uint32_t kMaxPercent = 100;
 constexpr std::uint32_t kMaxDurationMs = 7 * 24 * 3600 * 1000;
 
-bool IsAlphanumeric(char c) {
-  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
-         (c >= '0' && c <= '9');
-}
-
-bool IsMadeOf(const std::string& text, std::string_view punctuation) {
-  return std::all_of(text.begin(), text.end(), [&](char c) {
-    return IsAlphanumeric(c) || punctuation.find(c) != std::string_view::npos;
-  });
-}
-
-bool IsName(const std::string& text) {
-  return !text.empty() && text.size() <= kMaxNameBytes &&
-         IsAlphanumeric(text.front()) && IsMadeOf(text, "._-");
-}
-
 // The characters that a path may hold by RFC 3986, without query and fragment.
 bool IsPathPrefix(const std::string& text) {
   return text.starts_with('/') && IsMadeOf(text, "/-._~!$&'()*+,;=:@%");
@@ -62,6 +47,9 @@
 }
 
 std::string Quoted(const std::string& text) {
+  if (text.size() > kMaxNameBytes) {
+    return "\"" + text.substr(0, kMaxNameBytes) + "...\"";
+  }
   return "\"" + text + "\"";
 }
 
@@ -119,10 +107,12 @@
   template <typename T>
   void Report(const Placed<T>& at,
               const std::string& field,
-              std::string message,
+              const std::string& message,
               std::string hint) {
-    this->errors.push_back(at.lines->MakeError(
-        at.path + "." + field, std::move(message), std::move(hint)));
+    if (this->errors.size() < kMaxErrors) {
+      this->errors.push_back(
+          at.lines->MakeError(at.path + "." + field, message, std::move(hint)));
+    }
   }
 
   template <typename T>
@@ -143,9 +133,7 @@
                  const std::string& field,
                  const std::string& name) {
     if (!IsName(name)) {
-      this->Report(at, field, Quoted(name) + " is not a name",
-                   "use 1 to 128 letters, digits, '.', '_' and '-', beginning "
-                   "with a letter or digit");
+      this->Report(at, field, Quoted(name) + " is not a name", kNameHint);
     }
   }
 
