Take the platform's list as suggestions, and begin probe numbers at random

Listed addresses were added to the seeds and never left them, so that replaced instances were probed for ever; they are a list of their own now, replaced whole. A late answer to a predecessor's probe could pass for an answer to this process and make a grant look confirmed; probe numbers now begin at random.

--- a/src/membership.cc
+++ b/src/membership.cc
@@ -62,6 +62,7 @@
     : self(self),
       seeds(seeds),
       random(random),
+      sequence(random.Next()),
       self_transmits_left(kTransmitFactor),
       next_probe(now),
       next_lost_probe(now),
@@ -132,6 +133,13 @@
   return std::nullopt;
 }
 
+std::vector<PeerAddress> Membership::Suggested() const {
+  std::vector<PeerAddress> addresses = this->seeds;
+  addresses.insert(addresses.end(), this->listed.begin(), this->listed.end());
+  std::erase(addresses, PeerAddress(this->self.peer_address));
+  return addresses;
+}
+
 // Looks for members on the far side of a healed partition and for seeds that
 // are not known yet.
 void Membership::ProbeLost(TimePoint now, MembershipMessages& messages) {
@@ -141,9 +149,9 @@
       lost.emplace_back(member.info.peer_address);
     }
   }
-  for (const PeerAddress& seed : this->seeds) {
-    if (!this->IsLiveAddress(seed) && seed.Value() != this->self.peer_address) {
-      lost.push_back(seed);
+  for (const PeerAddress& address : this->Suggested()) {
+    if (!this->IsLiveAddress(address)) {
+      lost.push_back(address);
     }
   }
   if (!lost.empty()) {
@@ -214,10 +222,9 @@
   auto candidates = this->LivePeers();
   this->next_sync = now + interval;
   if (candidates.empty()) {
-    candidates = this->seeds;
+    candidates = this->Suggested();
     this->next_sync = now + kProbeInterval;
   }
-  std::erase(candidates, PeerAddress(this->self.peer_address));
   if (!candidates.empty()) {
     schema::MemberSyncT sync;
     sync.reply_wanted = true;
@@ -332,12 +339,7 @@
 }
 
 void Membership::OnPlatformList(const std::vector<PeerAddress>& addresses) {
-  for (const PeerAddress& address : addresses) {
-    if (std::find(this->seeds.begin(), this->seeds.end(), address) ==
-        this->seeds.end()) {
-      this->seeds.push_back(address);
-    }
-  }
+  this->listed = addresses;
 }
 
 void Membership::AnnounceLeaving(TimePoint now) {
@@ -421,7 +423,8 @@
 }
 
 std::size_t Membership::KnownPeers() const {
-  return std::max(this->members.size(), this->seeds.size());
+  return std::max(
+      {this->members.size(), this->seeds.size(), this->listed.size()});
 }
 
 bool Membership::IsLiveAddress(const PeerAddress& address) const {
--- a/src/membership.h
+++ b/src/membership.h
@@ -64,8 +64,8 @@
   std::optional<TimePoint> OnAck(const schema::AckT& ack,
                                  MembershipMessages& replies,
                                  TimePoint now);
-  // The addresses that the platform lists. It lags, so it only suggests whom
-  // to probe and which dead members to forget.
+  // The peer addresses that the platform lists. The list lags, so it only
+  // suggests whom to probe.
   void OnPlatformList(const std::vector<PeerAddress>& addresses);
 
   void SetLoad(std::uint32_t permille) { this->self.load_permille = permille; }
@@ -118,15 +118,20 @@
   Duration AckTimeout() const;
   Duration SuspicionTimeout() const;
   std::uint32_t Transmits() const;
+  // Where peers may be by the settings and the platform's list.
+  std::vector<PeerAddress> Suggested() const;
   bool IsLiveAddress(const PeerAddress& address) const;
 
   schema::MemberUpdateT self;
   std::vector<PeerAddress> seeds;
+  std::vector<PeerAddress> listed;
   RandomSource& random;
   std::map<InstanceId, Member> members;
   std::map<std::uint64_t, Probe> probes;
   std::vector<InstanceId> round;
-  std::uint64_t sequence = 0;
+  // Begins at random, so that a late answer to this instance's predecessor is
+  // not taken for an answer to this process.
+  std::uint64_t sequence;
   std::uint64_t version = 0;
   std::uint32_t self_transmits_left;
   std::uint32_t local_health = 0;
--- a/test/correctness/membership_test.cc
+++ b/test/correctness/membership_test.cc
@@ -119,5 +119,17 @@
   CHECK(node.fleet->stop);
 }
 
+TEST_CASE("the platform's list finds peers that no seed names") {
+  FakeFleet fleet(6);
+  fleet.platform.lists[kEntryService] = {
+      {"peer-x1", FailureDomain("a"), 1, false}};
+  fleet.Start("x1");
+  fleet.Start("x2");
+  CHECK(fleet.RunUntil(seconds(20), [&] {
+    return SeenState(fleet, "x2", "x1") == MemberState::Alive &&
+           SeenState(fleet, "x1", "x2") == MemberState::Alive;
+  }));
+}
+
 }  // namespace
 }  // namespace acacia
