Print each measured row at once

Cause: the measuring programs take minutes and printed nothing until their end. Change: each row is flushed as it is measured. No figure and no decision is changed.

--- a/test/performance/control_slopes.cc
+++ b/test/performance/control_slopes.cc
@@ -151,6 +151,7 @@
 
 int main(int argc, char** argv) {
   acacia::StartLogging(argv[0]);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
   FLAGS_minloglevel = 3;
   acacia::MeasureOneLargeAgent();
   std::printf("%6s %9s %9s %9s %8s %8s %9s %9s\n", "nodes", "CPU %", "kB/s",
--- a/test/performance/pooled_ejection.cc
+++ b/test/performance/pooled_ejection.cc
@@ -182,6 +182,7 @@
 
 int main(int /*argc*/, char** argv) {
   acacia::StartLogging(argv[0]);
+  std::setvbuf(stdout, nullptr, _IOLBF, 0);
   FLAGS_minloglevel = 2;
   std::printf("seconds until no entry had sent to the sick one for 10 s\n");
   std::printf("%7s %7s %8s %8s %8s %8s %10s %8s\n", "req/s", "failing", "",
