Keep the registered instance's path alive while it is parsed

The platform stand-in parsed a temporary string, and the URL view outlived it: a registration failed with 400 or crashed the stand-in.

--- a/standin/platform_standin.cc
+++ b/standin/platform_standin.cc
@@ -280,7 +280,8 @@
 
 HttpReply PlatformStandin::ChangeInstance(const HttpRequest& request,
                                           const std::string& rest) {
-  const auto url = boost::urls::parse_relative_ref("/" + rest);
+  const std::string path = "/" + rest;
+  const auto url = boost::urls::parse_relative_ref(path);
   if (!url || url->segments().size() != 2) {
     return Plain(400, "write /v1/instances/SERVICE/ADDRESS");
   }
