--- a/standin/acacia_load_main.cc
+++ b/standin/acacia_load_main.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/program_options.hpp>
 #include <fstream>
@@ -18,6 +19,7 @@
 constexpr int kExitBroken = 1;
 constexpr int kExitUsage = 2;
 constexpr int kExitNoLedger = 3;
+constexpr int kExitTooFewAnswered = 4;
 // Work that was cancelled late may still be on its way into a ledger.
 constexpr std::chrono::milliseconds kSettle{1000};
 
@@ -26,12 +28,13 @@
     "answer,\n"
     "and compares what callers were told with the backend servers' ledgers.\n"
     "Exit codes: 0 all promises kept, 1 a promise broken, 2 usage, 3 a ledger\n"
-    "could not be read.\nOptions";
+    "could not be read, 4 fewer answered than required.\nOptions";
 
 struct Arguments {
   std::string settings_file;
   std::string json_file;
   std::uint32_t seconds = 0;
+  double required_percent = 0;
 };
 
 struct Outcome {
@@ -50,6 +53,16 @@
   outcome->ledger = co_await acacia::ReadLedgers(settings.ledgers);
 }
 
+double AnsweredPercent(const std::vector<acacia::CallResult>& results) {
+  const auto answered = std::count_if(
+      results.begin(), results.end(), [](const acacia::CallResult& result) {
+        return result.told == acacia::Told::kAnswered;
+      });
+  constexpr double kPercent = 100;
+  return kPercent * static_cast<double>(answered) /
+         static_cast<double>(std::max<std::size_t>(results.size(), 1));
+}
+
 int Run(const Arguments& arguments) {
   auto settings = acacia::ReadLoadSettings(arguments.settings_file);
   if (!settings) {
@@ -79,6 +92,9 @@
   if (report.broken.Total() > 0) {
     return kExitBroken;
   }
+  if (AnsweredPercent(outcome.results) < arguments.required_percent) {
+    return kExitTooFewAnswered;
+  }
   return settings->ledgers.empty() || ledger ? kExitKept : kExitNoLedger;
 }
 
@@ -95,7 +111,9 @@
       "json", options::value(&arguments.json_file),
       "write the report there as JSON, too")(
       "seconds", options::value(&arguments.seconds),
-      "overrides the settings' duration");
+      "overrides the settings' duration")(
+      "require-answered", options::value(&arguments.required_percent),
+      "per cent of the requests that must be answered");
   options::variables_map values;
   try {
     options::store(options::parse_command_line(argc, argv, known), values);
--- a/standin/call_result.h
+++ b/standin/call_result.h
@@ -28,7 +28,7 @@
   bool idempotent = true;
   Told told = Told::kUnknown;
   int status = 0;
-  // Acacia-Error, or "no_answer", "timeout", "connect_failed".
+  // Acacia-Error, or "no_answer", "timeout", "no_entry".
   std::string error;
   // The answer was passed off as whole and good, but was not this request's or
   // not all of it.
--- a/standin/load_caller.cc
+++ b/standin/load_caller.cc
@@ -296,7 +296,7 @@
     if (!connection) {
       if (i == 0) {
         result.told = Told::kNotRun;
-        result.error = "connect_failed";
+        result.error = "no_entry";
       }
       co_return result;
     }
