Let no deadline cut long work or a body on its way; keep refusals truthful

Cause: the dispatcher ends every attempt at the request's deadline, so a take that uploads steadily was cut; and an attempt that had reported a refusal was cancelled afterwards, which marked its outcome as unknown, so that callers of a shedding service heard backend_broken in place of not-run.

Ruled out: changing the dispatcher's rule, which its own tests state. Instead it hears of a deadline far away for long work and for bodies still being sent; the session refuses such a request as not run when no attempt has started by the deadline, and the attempt bounds the wait for the answer.

--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -130,7 +130,7 @@
 void ProxyAttempt::Cancel() {
   this->cancelled = true;
   this->due = TimePoint::max();
-  if (this->sent_bytes) {
+  if (this->sent_bytes && !this->reported) {
     this->exchange.outcome_unknown = true;
   }
   if (this->connection) {
@@ -161,7 +161,7 @@
   this->due =
       this->context.clock.Now() + this->exchange.policy.progress_timeout;
   if (this->request_sent && !this->head_arrived) {
-    const TimePoint deadline = this->exchange.work.deadline;
+    const TimePoint deadline = this->exchange.deadline;
     this->due = this->exchange.work.work_class == WorkClass::kShort
                     ? std::min(this->due, deadline)
                     : std::max(this->due, deadline);
@@ -199,7 +199,7 @@
   this->connection = std::make_unique<BackendConnection>(
       this->owner.Caller().Socket().get_executor());
   const TimePoint now = this->context.clock.Now();
-  this->due = std::min(now + kConnectTimeout, this->exchange.work.deadline);
+  this->due = std::min(now + kConnectTimeout, this->exchange.deadline);
   this->owner.GuardDeadlines();
   const net::ip::tcp::endpoint endpoint(address->address, address->port);
   const auto [error] =
@@ -215,7 +215,7 @@
 http::request_header<> ProxyAttempt::BuildHead() const {
   http::request_header<> head = this->exchange.head;
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      this->exchange.work.deadline - this->context.clock.Now());
+      this->exchange.deadline - this->context.clock.Now());
   head.set(kRequestIdHeader, this->request_id);
   head.set(kDeadlineHeader,
            std::to_string(std::max<std::int64_t>(left.count(), 1)));
@@ -266,29 +266,36 @@
 
 // Runs beside the reader of the answer: a backend server may answer early.
 net::awaitable<void> ProxyAttempt::Upload() {
-  if (co_await this->SendHeadOf(this->BuildHead()) &&
-      co_await this->UploadBody()) {
-    this->request_sent = true;
+  bool sent = co_await this->SendHeadOf(this->BuildHead());
+  if (sent) {
+    sent = co_await this->UploadBody();
+  }
+  this->request_sent = sent;
+  this->upload_failed = !sent;
+  if (sent) {
     this->Progress();
-    co_return;
   }
-  this->upload_failed = true;
 }
 
-net::awaitable<bool> ProxyAttempt::UploadBody() {
+net::awaitable<bool> ProxyAttempt::SendPiece(net::const_buffer piece) {
   net::ip::tcp::socket& socket = this->connection->socket;
+  if (!this->exchange.is_chunked) {
+    const auto [error, count] =
+        co_await net::async_write(socket, net::const_buffers_1(piece), kAwait);
+    co_return !error;
+  }
+  const auto [error, count] =
+      co_await net::async_write(socket, http::make_chunk(piece), kAwait);
+  co_return !error;
+}
+
+net::awaitable<bool> ProxyAttempt::UploadBody() {
   std::vector<char> space(kRelayBytes);
-  const bool chunked = this->exchange.is_chunked;
   std::string piece = this->exchange.prefix;
   for (;;) {
     if (!piece.empty()) {
       this->Progress();
-      const net::const_buffer bytes = net::buffer(piece);
-      const auto [error, count] =
-          chunked ? co_await net::async_write(socket, http::make_chunk(bytes),
-                                              kAwait)
-                  : co_await net::async_write(socket, bytes, kAwait);
-      if (error) {
+      if (!co_await this->SendPiece(net::buffer(piece))) {
         co_return false;
       }
     }
@@ -305,9 +312,9 @@
     }
     piece.assign(space.data(), *read);
   }
-  if (chunked) {
-    const auto [error, count] =
-        co_await net::async_write(socket, http::make_chunk_last(), kAwait);
+  if (this->exchange.is_chunked) {
+    const auto [error, count] = co_await net::async_write(
+        this->connection->socket, http::make_chunk_last(), kAwait);
     co_return !error;
   }
   co_return true;
@@ -349,7 +356,11 @@
     if (status == kSwitchingStatus) {
       co_return AttemptResult::kBroken;
     }
-    if (status != kContinueStatus && !co_await this->RelayInterim()) {
+    if (status == kContinueStatus) {
+      continue;
+    }
+    const bool passed_on = co_await this->RelayInterim();
+    if (!passed_on) {
       co_return this->Failed(AttemptResult::kCancelled);
     }
   }
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -31,6 +31,9 @@
 struct Exchange {
   RequestId id;
   Work work;
+  // Bounds the wait for an attempt, and for a short answer's head. The
+  // dispatcher is told a later one for work that only lack of progress ends.
+  TimePoint deadline;
   ServicePolicy policy;
   // Connections to each backend server that this entry may hold.
   std::uint32_t max_connections = 0;
@@ -137,6 +140,7 @@
   void StartUpload();
   boost::asio::awaitable<void> Upload();
   boost::asio::awaitable<bool> UploadBody();
+  boost::asio::awaitable<bool> SendPiece(boost::asio::const_buffer piece);
   boost::asio::awaitable<tl::expected<std::size_t, BodyError>> NextUploadPiece(
       std::vector<char>& space);
   boost::asio::awaitable<std::optional<AttemptResult>> ReadAnswerHead();
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -14,6 +14,7 @@
 namespace net = boost::asio;
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+constexpr Duration kUnboundedWork = std::chrono::hours(24);
 
 }  // namespace
 
@@ -67,7 +68,7 @@
 // The timer stays armed for the earliest time asked for and is armed again when
 // it finds nothing due, so that most requests touch no timer.
 void ProxySession::GuardDeadlines() {
-  TimePoint next = this->caller_due;
+  TimePoint next = std::min(this->caller_due, this->start_due);
   for (const auto& attempt : this->attempts) {
     next = std::min(next, attempt->Due());
   }
@@ -93,6 +94,10 @@
     this->OnCallerFailed(BodyError::kClosed);
     this->caller.Close();
   }
+  if (this->start_due <= now) {
+    this->start_due = TimePoint::max();
+    this->RefuseUnstarted();
+  }
   for (const auto& attempt : this->attempts) {
     if (attempt->Due() <= now) {
       attempt->Expire();
@@ -101,9 +106,28 @@
   this->GuardDeadlines();
 }
 
+// No attempt has started within the deadline.
+void ProxySession::RefuseUnstarted() {
+  if (!this->exchange || !this->service || this->IsOver()) {
+    return;
+  }
+  this->refusal = ErrorKind::kDeadlineTooShort;
+  this->TellDispatcherOfLeaving();
+}
+
+void ProxySession::TellDispatcherOfLeaving() {
+  this->service->Feed(
+      [this](Dispatcher& dispatcher, TimePoint now) {
+        return dispatcher.OnCallerLeft(this->exchange->id, now);
+      },
+      this);
+  this->CancelAttempts();
+  this->Signal();
+}
+
 net::awaitable<bool> ProxySession::Dispatch() {
   const RequestId id = this->exchange->id;
-  this->exchange->work.hedgeable = this->exchange->body_read;
+  this->PrepareWork();
   this->context.registry.Add(id, this->weak_from_this());
   this->service->Feed(
       [this](Dispatcher& dispatcher, TimePoint now) {
@@ -125,6 +149,7 @@
     co_await this->WaitForSignal();
   }
   this->context.registry.Remove(id);
+  this->start_due = TimePoint::max();
   this->caller.StopWatching();
   this->CancelAttempts();
   while (!this->attempts.empty() || this->exchange->uploads > 0) {
@@ -133,6 +158,21 @@
   co_return co_await this->FinishDispatch();
 }
 
+// The dispatcher ends attempts at the deadline. Long work, and a body that is
+// still being sent, must not end so: the dispatcher hears of a deadline far
+// away, the session bounds the wait for a slot, and the attempt the wait for
+// the answer.
+void ProxySession::PrepareWork() {
+  Exchange& request = *this->exchange;
+  request.work.hedgeable = request.body_read;
+  const bool unbounded =
+      request.work.work_class == WorkClass::kLong || !request.body_read;
+  request.work.deadline =
+      unbounded ? this->began + kUnboundedWork : request.deadline;
+  this->start_due = unbounded ? request.deadline : TimePoint::max();
+  this->GuardDeadlines();
+}
+
 bool ProxySession::IsOver() const {
   if (this->caller_failed || this->refusal) {
     return true;
@@ -219,6 +259,7 @@
 }
 
 void ProxySession::Handle(const StartAttempt& action) {
+  this->start_due = TimePoint::max();
   auto attempt = std::make_shared<ProxyAttempt>(this->context, *this,
                                                 *this->exchange, action);
   this->attempts.push_back(attempt);
@@ -311,13 +352,7 @@
     return;
   }
   this->caller_failed = error;
-  this->service->Feed(
-      [this](Dispatcher& dispatcher, TimePoint now) {
-        return dispatcher.OnCallerLeft(this->exchange->id, now);
-      },
-      this);
-  this->CancelAttempts();
-  this->Signal();
+  this->TellDispatcherOfLeaving();
 }
 
 }  // namespace acacia
--- a/src/proxy_session.cc
+++ b/src/proxy_session.cc
@@ -221,7 +221,7 @@
   prepared.work.work_class = route.work_class;
   prepared.work.account = options.account;
   prepared.work.idempotent = IsIdempotent(route, head.method_string(), options);
-  prepared.work.deadline = this->began + allowed;
+  prepared.deadline = this->began + allowed;
   prepared.policy = snapshot.views.at(route.service).policy;
   prepared.max_connections = ConnectionShare(snapshot, prepared.policy);
   prepared.max_body_bytes = route.max_body_bytes;
@@ -329,7 +329,8 @@
 }
 
 net::awaitable<bool> ProxySession::WriteReply(StringResponse reply) {
-  const bool keep = !this->MustClose() && co_await this->DiscardBody();
+  const bool discarded = co_await this->DiscardBody();
+  const bool keep = discarded && !this->MustClose();
   reply.keep_alive(keep);
   if (this->caller.IsTrusted() &&
       this->caller.Head().method() == http::verb::head) {
--- a/src/proxy_session.h
+++ b/src/proxy_session.h
@@ -78,6 +78,9 @@
   boost::asio::awaitable<bool> DiscardBody();
   boost::asio::awaitable<void> CloseGracefully();
 
+  void PrepareWork();
+  void RefuseUnstarted();
+  void TellDispatcherOfLeaving();
   bool IsOver() const;
   void Drain();
   std::optional<DispatchAction> TakeAction();
@@ -100,6 +103,8 @@
   TimePoint watchdog_armed = TimePoint::max();
   // When the caller must have sent or taken something.
   TimePoint caller_due = TimePoint::max();
+  // When an attempt must have started.
+  TimePoint start_due = TimePoint::max();
 
   // The request that is being answered.
   std::optional<Exchange> exchange;
--- a/test/proxy_fixture.h
+++ b/test/proxy_fixture.h
@@ -7,7 +7,10 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <catch2/catch.hpp>
+#include <condition_variable>
+#include <cstring>
 #include <functional>
+#include <future>
 #include <list>
 #include <memory>
 #include <mutex>
@@ -16,10 +19,8 @@
 #include <thread>
 #include <vector>
 
-#include "src/content_hash.h"
 #include "src/entry_server.h"
 #include "src/generated/entry_link_generated.h"
-#include "src/lower_case.h"
 
 namespace acacia {
 
