Show what was seen last when a wait in a test is given up

Cause: a wait that was given up in an integration test did not say what the agent had last reported. Change: the wait prints the status seen last. Conclusion: no check is changed.

--- a/test/integration/process_fleet.cc
+++ b/test/integration/process_fleet.cc
@@ -190,8 +190,11 @@
 }
 
 void Fleet::AwaitReady(int index) const {
-  Await("entry-" + std::to_string(index) + " to be ready",
-        [&] { return this->IsReady(index); });
+  std::string seen;
+  Await("entry-" + std::to_string(index) + " to be ready", seen, [&] {
+    seen = Ask(this->agent_operators[index], "GET", "/status").body;
+    return this->IsReady(index);
+  });
 }
 
 int Fleet::Apply(const std::string& file_set, const std::string& write_id) {
--- a/test/process_fleet.h
+++ b/test/process_fleet.h
@@ -33,18 +33,25 @@
 inline constexpr std::chrono::seconds kConditionLimit{60};
 inline constexpr std::chrono::milliseconds kConditionPoll{50};
 
-// Waits until the condition holds; fails the test when it never does.
+// Waits until the condition holds; fails the test when it never does, and shows
+// what was `seen` last.
 inline void Await(const std::string& what,
+                  const std::string& seen,
                   const std::function<bool()>& condition) {
   const TimePoint limit = SystemClock().Now() + kConditionLimit;
   while (!condition()) {
     if (SystemClock().Now() > limit) {
-      FAIL("gave up waiting for " << what);
+      FAIL("gave up waiting for " << what << " " << seen);
     }
     std::this_thread::sleep_for(kConditionPoll);
   }
 }
 
+inline void Await(const std::string& what,
+                  const std::function<bool()>& condition) {
+  Await(what, "", condition);
+}
+
 // One small HTTP exchange; status 0 when there was no answer.
 inline HttpReply Ask(const std::string& address,
                      const std::string& method,
