Slow retries in an outage, and lapse ejections at the entry

Cause: at 1,300 agents the reads peaked at 633/s in an outage, over a quarter of what the platform gives: every agent retried the head after 1 s, and lists were read in step. And the entry kept ejections whose agent no longer renewed them, while the argument for the floor needs them to lapse. Change: the first retry of a ready agent comes after 5 s, first intervals spread from zero, and new instances ask for all members after 5 s, 10 s, ...; the entry drops ejections that were not renewed in time, with a test.

--- a/src/config_sync.cc
+++ b/src/config_sync.cc
@@ -15,7 +15,10 @@
 constexpr Duration kPollInterval = std::chrono::seconds(10);
 constexpr Duration kFirstPollSpread = std::chrono::milliseconds(200);
 constexpr Duration kPollTimeout = std::chrono::seconds(30);
-constexpr Duration kFirstBackoff = std::chrono::seconds(1);
+// A fleet of 1,300 that retries sooner asks more of the platform than a quarter
+// of its reads; a new instance may.
+constexpr Duration kFirstBackoff = std::chrono::seconds(5);
+constexpr Duration kFirstBackoffAtStart = std::chrono::seconds(1);
 constexpr Duration kFetchTimeout = std::chrono::seconds(1);
 constexpr Duration kMaxFetchBackoff = std::chrono::seconds(8);
 constexpr Duration kSpreadPatience = std::chrono::seconds(3);
@@ -74,7 +77,8 @@
   if (!result) {
     this->polled = false;
     const auto doublings = std::min<std::uint32_t>(this->failed_polls++, 4);
-    const Duration backoff = kFirstBackoff * (1U << doublings);
+    const Duration first = this->ready ? kFirstBackoff : kFirstBackoffAtStart;
+    const Duration backoff = first * (1U << doublings);
     this->next_poll = now + this->Jittered(std::min(backoff, kPollInterval));
     return true;
   }
--- a/src/discovery.cc
+++ b/src/discovery.cc
@@ -1,6 +1,7 @@
 #include "src/discovery.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acacia {
 namespace {
@@ -48,7 +49,11 @@
     }
     poll.operation = this->operations.Take();
     poll.sent = now;
-    poll.next = now + this->Jittered(std::max(kMinInterval, fair));
+    const Duration interval = std::max(kMinInterval, fair);
+    // Instances that started together spread out at once.
+    const bool first = !std::exchange(poll.asked_before, true);
+    poll.next =
+        now + this->Jittered(interval) - (first ? interval / 2 : Duration());
     actions.push_back(ReadInstanceList{*poll.operation, name});
   }
 }
--- a/src/discovery.h
+++ b/src/discovery.h
@@ -51,6 +51,7 @@
     std::optional<OperationId> operation;
     TimePoint sent;
     TimePoint next;
+    bool asked_before = false;
   };
 
   Duration Jittered(Duration around);
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -45,6 +45,7 @@
                                              const ServiceView& view);
   void OnConfiguration(const schema::ConfigurationUpdateT& update);
   void OnFleet(std::unique_ptr<schema::FleetUpdateT> update);
+  void LapseEjections();
   void Rebuild();
   schema::EntryReportT MakeReport();
   OperatorHandlers MakeOperatorHandlers();
@@ -74,6 +75,7 @@
   EntryMember self;
   std::shared_ptr<const Configuration> configuration;
   std::unique_ptr<schema::FleetUpdateT> fleet;
+  TimePoint fleet_received;
 
   std::atomic<bool> stop_begun{false};
   std::atomic<bool> stopped{false};
@@ -158,11 +160,21 @@
   this->link.ReportSoon();
 }
 
+void EntryServer::State::LapseEjections() {
+  const std::lock_guard lock(this->mutex);
+  const Duration age = this->clock.Now() - this->fleet_received;
+  if (this->fleet != nullptr && DropLapsedEjections(*this->fleet, age)) {
+    LogEvent("ejections_lapsed", LogSeverity::kWarning);
+    this->Rebuild();
+  }
+}
+
 void EntryServer::State::OnFleet(std::unique_ptr<schema::FleetUpdateT> update) {
   const bool stop = update->stop;
   {
     const std::lock_guard lock(this->mutex);
     this->fleet = std::move(update);
+    this->fleet_received = this->clock.Now();
     this->Rebuild();
   }
   if (stop && !this->stop_begun.exchange(true)) {
@@ -268,6 +280,7 @@
   while (!this->stopped.load()) {
     co_await this->Pause(kHousekeepingInterval);
     this->context.pool.CloseIdle(this->clock.Now());
+    this->LapseEjections();
   }
 }
 
--- a/src/entry_snapshot.cc
+++ b/src/entry_snapshot.cc
@@ -121,4 +121,16 @@
   return snapshot;
 }
 
+bool DropLapsedEjections(schema::FleetUpdateT& fleet, Duration age) {
+  bool dropped = false;
+  if (age <= std::chrono::milliseconds(fleet.ejections_valid_ms)) {
+    return dropped;
+  }
+  for (const auto& service : fleet.services) {
+    dropped |= !service->ejected.empty();
+    service->ejected.clear();
+  }
+  return dropped;
+}
+
 }  // namespace acacia
--- a/src/entry_snapshot.h
+++ b/src/entry_snapshot.h
@@ -36,6 +36,11 @@
                             const schema::FleetUpdateT* fleet,
                             const EntryMember& self);
 
+// Drops all ejections when the fleet's state is older than it says they are
+// valid: the grants behind them may have changed since, and only the agent
+// could tell. Returns true when there were any.
+bool DropLapsedEjections(schema::FleetUpdateT& fleet, Duration age);
+
 // Holds the current snapshot. Thread-safe.
 class SnapshotHolder {
  public:
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -220,7 +220,10 @@
   const Duration interval = std::max<Duration>(
       kMinSyncInterval, kSyncIntervalPerMember * this->members.size());
   auto candidates = this->LivePeers();
-  this->next_sync = now + interval;
+  this->next_sync = now + std::min(interval, this->sync_backoff);
+  if (this->sync_backoff < interval && !candidates.empty()) {
+    this->sync_backoff *= 2;
+  }
   if (candidates.empty()) {
     candidates = this->Suggested();
     this->next_sync = now + kProbeInterval;
--- a/src/membership.h
+++ b/src/membership.h
@@ -139,6 +139,9 @@
   TimePoint next_probe;
   TimePoint next_lost_probe;
   TimePoint next_sync;
+  // A new instance asks for everything a few times soon, because many may be
+  // starting at once.
+  Duration sync_backoff = std::chrono::seconds(5);
   TimePoint next_expiry;
 };
 
