--- a/test/fuzz/coordination_script.cc
+++ b/test/fuzz/coordination_script.cc
@@ -60,7 +60,6 @@
 
 void CoordinationRun::Do(const Step& step) {
   FakeNode& node = this->fleet.nodes.at(this->NodeName(step.a));
-  const std::string server = "b" + std::to_string(step.a % kServers);
   switch (step.operation) {
     case Operation::kApply:
       this->Apply(step);
@@ -92,6 +91,16 @@
       this->fleet.platform.outage = false;
       this->fleet.platform_delay = {};
       break;
+    default:
+      this->DoToInstances(step);
+      break;
+  }
+}
+
+void CoordinationRun::DoToInstances(const Step& step) {
+  FakeNode& node = this->fleet.nodes.at(this->NodeName(step.a));
+  const std::string server = "b" + std::to_string(step.a % kServers);
+  switch (step.operation) {
     case Operation::kPause:
       node.paused = true;
       break;
@@ -118,6 +127,8 @@
     case Operation::kAdvance:
       this->Advance(static_cast<int>(step.a % 120) + 1);
       break;
+    default:
+      break;
   }
 }
 
--- a/test/fuzz/coordination_script.h
+++ b/test/fuzz/coordination_script.h
@@ -67,6 +67,7 @@
 
  private:
   void Do(const Step& step);
+  void DoToInstances(const Step& step);
   void Apply(const Step& step);
   void Race(const Step& step);
   void Tell(const ConfigPublisher& publisher, const std::string& write_id);
--- a/test/fuzz/coordination_state_test.cc
+++ b/test/fuzz/coordination_state_test.cc
@@ -10,37 +10,6 @@
 
 #include "test/fuzz/coordination_script.h"
 
-namespace rc {
-
-template <>
-struct Arbitrary<acacia::Step> {
-  static Gen<acacia::Step> arbitrary() {
-    using acacia::Operation;
-    const auto operation =
-        gen::weightedElement<Operation>({{2, Operation::kApply},
-                                         {2, Operation::kRace},
-                                         {1, Operation::kOutage},
-                                         {1, Operation::kSlow},
-                                         {2, Operation::kLoseReplies},
-                                         {2, Operation::kCut},
-                                         {1, Operation::kCutPlatform},
-                                         {4, Operation::kHeal},
-                                         {2, Operation::kPause},
-                                         {3, Operation::kResume},
-                                         {2, Operation::kReplace},
-                                         {6, Operation::kSick},
-                                         {1, Operation::kLeave},
-                                         {20, Operation::kAdvance}});
-    const auto number =
-        gen::resize(kNominalSize, gen::inRange<std::uint32_t>(0, 1000));
-    return gen::build<acacia::Step>(
-        gen::set(&acacia::Step::operation, operation),
-        gen::set(&acacia::Step::a, number), gen::set(&acacia::Step::b, number));
-  }
-};
-
-}  // namespace rc
-
 namespace acacia {
 namespace {
 
@@ -48,6 +17,29 @@
 constexpr char kFixedParameters[] = "seed=20261204 max_success=60 max_size=60";
 const int kParametersAreSet = setenv("RC_PARAMS", kFixedParameters, 0);
 
+rc::Gen<Step> AnyStep() {
+  const auto operation =
+      rc::gen::weightedElement<Operation>({{2, Operation::kApply},
+                                           {2, Operation::kRace},
+                                           {1, Operation::kOutage},
+                                           {1, Operation::kSlow},
+                                           {2, Operation::kLoseReplies},
+                                           {2, Operation::kCut},
+                                           {1, Operation::kCutPlatform},
+                                           {4, Operation::kHeal},
+                                           {2, Operation::kPause},
+                                           {3, Operation::kResume},
+                                           {2, Operation::kReplace},
+                                           {6, Operation::kSick},
+                                           {1, Operation::kLeave},
+                                           {20, Operation::kAdvance}});
+  const auto number = rc::gen::resize(rc::kNominalSize,
+                                      rc::gen::inRange<std::uint32_t>(0, 1000));
+  return rc::gen::build<Step>(rc::gen::set(&Step::operation, operation),
+                              rc::gen::set(&Step::a, number),
+                              rc::gen::set(&Step::b, number));
+}
+
 std::optional<std::string> Violation(const Script& script, Fault fault) {
   CoordinationRun run(script.size(), fault);
   try {
@@ -63,7 +55,7 @@
   std::size_t most_stopping = 0;
   std::size_t most_accepted = 0;
   const bool held = rc::check([&] {
-    const auto script = *rc::gen::arbitrary<Script>();
+    const auto script = *rc::gen::container<Script>(AnyStep());
     CoordinationRun run(script.size(), Fault::kNone);
     run.Run(script);
     most_ejected = std::max(most_ejected, run.Seen().most_ejected);
