Count no instance among its own peers

Cause: a replaced instance beside peers never became ready while the platform was out: its seed list names the instance itself, so it waited for three peers and could hear two. Ruled out: lost heartbeats (it heard both). Change: membership leaves the own address out of seeds and of the platform's list. Test: 'an instance is not a peer of its own' failed with 3 == 2 for both, and passes.

--- a/src/membership.cc
+++ b/src/membership.cc
@@ -53,6 +53,13 @@
   return Rank(update.state) > Rank(known.state);
 }
 
+// Settings and the platform's list may name the instance itself.
+std::vector<PeerAddress> Without(std::vector<PeerAddress> addresses,
+                                 const std::string& self) {
+  std::erase(addresses, PeerAddress(self));
+  return addresses;
+}
+
 }  // namespace
 
 Membership::Membership(const schema::MemberUpdateT& self,
@@ -60,7 +67,7 @@
                        RandomSource& random,
                        TimePoint now)
     : self(self),
-      seeds(seeds),
+      seeds(Without(seeds, self.peer_address)),
       random(random),
       sequence(random.Next()),
       self_transmits_left(kTransmitFactor),
@@ -342,7 +349,7 @@
 }
 
 void Membership::OnPlatformList(const std::vector<PeerAddress>& addresses) {
-  this->listed = addresses;
+  this->listed = Without(addresses, this->self.peer_address);
 }
 
 void Membership::AnnounceLeaving(TimePoint now) {
--- a/test/correctness/membership_test.cc
+++ b/test/correctness/membership_test.cc
@@ -53,6 +53,21 @@
   return false;
 }
 
+TEST_CASE("an instance is not a peer of its own") {
+  SeededRandom random(1);
+  schema::MemberUpdateT self;
+  self.instance = "n1";
+  self.peer_address = "10.0.0.1:7000";
+  const std::vector<PeerAddress> everyone{PeerAddress("10.0.0.1:7000"),
+                                          PeerAddress("10.0.0.2:7000"),
+                                          PeerAddress("10.0.0.3:7000")};
+  Membership seeded(self, everyone, random, TimePoint());
+  CHECK(seeded.KnownPeers() == 2);
+  Membership listed(self, {}, random, TimePoint());
+  listed.OnPlatformList(everyone);
+  CHECK(listed.KnownPeers() == 2);
+}
+
 TEST_CASE("members find each other, and a dead one is found dead") {
   FakeFleet fleet(1);
   fleet.StartMany(12);
