Take instance lists from a peer while the platform is out

Cause: an instance that was replaced during an outage of the platform had the configuration from its peers, but no backend server of any discovered service, because only the platform gave it instance lists. Change: a list that the platform fails to give and that was never known is asked of a random peer, whose copy carries its age; the platform's own word replaces it. Weighed: lists in the member sync (one message, but sent to instances that need none).

--- a/src/agent_core.cc
+++ b/src/agent_core.cc
@@ -69,6 +69,7 @@
   const std::string name =
       core.discovery.OnInstanceList(operation, result, now);
   core.OnListUpdated(name, now);
+  core.AskForMissingLists(now);
   return core.Finish(now);
 }
 
--- a/src/agent_messages.cc
+++ b/src/agent_messages.cc
@@ -172,6 +172,10 @@
     }
   } else if (const auto* notice = payload.AsStopNotice()) {
     this->planner.OnNotice(notice->plan, now, this->out);
+  } else if (const auto* list_request = payload.AsListRequest()) {
+    this->AnswerListRequest(from, list_request->name, now);
+  } else if (const auto* list = payload.AsListReply()) {
+    this->OnListUpdated(this->discovery.OnPeerList(*list, now), now);
   }
   // Only an answer says how old the sender's knowledge of a grant is.
   for (const auto& grant : message.grants) {
@@ -205,4 +209,41 @@
   this->SendWhole(from, message);
 }
 
+void AgentCore::State::AskForMissingLists(TimePoint now) {
+  for (const std::string& name : this->discovery.TakeMissing()) {
+    for (const PeerAddress& peer : this->membership.RandomPeers(1)) {
+      schema::ListRequestT request;
+      request.name = name;
+      schema::PeerMessageT message = this->MakeMessage(peer, now);
+      message.payload.Set(std::move(request));
+      this->SendMessage(peer, std::move(message));
+    }
+  }
+}
+
+void AgentCore::State::AnswerListRequest(const PeerAddress& from,
+                                         const std::string& name,
+                                         TimePoint now) {
+  const Discovery::List* list = this->discovery.Find(name);
+  if (list == nullptr) {
+    return;
+  }
+  schema::ListReplyT reply;
+  reply.name = name;
+  reply.age_ms = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - *list->asked)
+          .count());
+  for (const ListedServer& server : list->servers) {
+    auto listed = std::make_unique<schema::ListedServerT>();
+    listed->address = server.listed.address;
+    listed->failure_domain = server.listed.failure_domain.Value();
+    listed->slots = server.listed.slots;
+    listed->leaving = server.listed.leaving;
+    reply.servers.push_back(std::move(listed));
+  }
+  schema::PeerMessageT message = this->MakeMessage(from, now);
+  message.payload.Set(std::move(reply));
+  this->SendWhole(from, message);
+}
+
 }  // namespace acacia
--- a/src/agent_state.h
+++ b/src/agent_state.h
@@ -81,6 +81,10 @@
                            const ObjectHash& hash,
                            TimePoint now);
   void AnswerMemberSync(const PeerAddress& from, TimePoint now);
+  void AskForMissingLists(TimePoint now);
+  void AnswerListRequest(const PeerAddress& from,
+                         const std::string& name,
+                         TimePoint now);
 
   // The entry (agent_state.cc).
   void PublishConfigurationNow(TimePoint now);
--- a/src/discovery.cc
+++ b/src/discovery.cc
@@ -70,6 +70,9 @@
   Poll& poll = found->second;
   poll.operation.reset();
   if (!result) {
+    if (!poll.list.asked) {
+      this->missing.push_back(found->first);
+    }
     return {};
   }
   std::vector<ListedServer> next;
@@ -87,6 +90,29 @@
   return found->first;
 }
 
+std::vector<std::string> Discovery::TakeMissing() {
+  return std::exchange(this->missing, {});
+}
+
+std::string Discovery::OnPeerList(const schema::ListReplyT& reply,
+                                  TimePoint now) {
+  const auto poll = this->polls.find(reply.name);
+  if (poll == this->polls.end() || poll->second.list.asked) {
+    return {};
+  }
+  List& list = poll->second.list;
+  list.asked = now - std::chrono::milliseconds(reply.age_ms);
+  for (const auto& server : reply.servers) {
+    if (server) {
+      const ListedInstance listed{server->address,
+                                  FailureDomain(server->failure_domain),
+                                  server->slots, server->leaving};
+      list.servers.push_back({listed, TimePoint()});
+    }
+  }
+  return poll->first;
+}
+
 const Discovery::List* Discovery::Find(const std::string& name) const {
   const auto poll = this->polls.find(name);
   return poll == this->polls.end() || !poll->second.list.asked
--- a/src/discovery.h
+++ b/src/discovery.h
@@ -1,6 +1,7 @@
 // Reads the platform's lagging instance lists: of each service that names one,
 // and of our own entries. The pace falls with the size of the fleet and the
-// number of lists, so that all instances together stay within kFleetReads.
+// number of lists, so that all instances together stay within kFleetReads. An
+// instance that starts while the platform is out takes a peer's copies.
 #ifndef SRC_DISCOVERY_H_
 #define SRC_DISCOVERY_H_
 
@@ -12,6 +13,7 @@
 
 #include "src/agent_actions.h"
 #include "src/clock.h"
+#include "src/generated/peer_generated.h"
 #include "src/ids.h"
 #include "src/platform.h"
 #include "src/random_source.h"
@@ -45,6 +47,13 @@
                              TimePoint now);
   const List* Find(const std::string& name) const;
 
+  // The lists that the platform failed to give since the last call and that
+  // were never known here: to be asked of a peer.
+  std::vector<std::string> TakeMissing();
+  // A peer's copy; taken only while the list is not known here. Returns the
+  // name of the list that was updated; empty when none was.
+  std::string OnPeerList(const schema::ListReplyT& reply, TimePoint now);
+
  private:
   struct Poll {
     List list;
@@ -59,6 +68,7 @@
   RandomSource& random;
   OperationIds& operations;
   std::map<std::string, Poll> polls;
+  std::vector<std::string> missing;
 };
 
 }  // namespace acacia
