--- a/test/integration/leaving_test.cc
+++ b/test/integration/leaving_test.cc
@@ -20,6 +20,7 @@
   });
   fleet.CheckPromisesOf(results);
   CHECK(fleet.Total(0, "arrived_leaving") == settled);
+  INFO(DescribeUnanswered(results));
   CHECK(CountTold(results, Told::kAnswered) == results.size());
 }
 
@@ -36,6 +37,7 @@
     CHECK(fleet.processes.at("entry-0")->Wait() == 0);
   });
   fleet.CheckPromisesOf(results);
+  INFO(DescribeUnanswered(results));
   CHECK(CountTold(results, Told::kAnswered) == results.size());
 }
 
@@ -52,6 +54,7 @@
     CHECK(fleet.processes.at("entry-1")->Wait() == 0);
   });
   fleet.CheckPromisesOf(results);
+  INFO(DescribeUnanswered(results));
   CHECK(CountTold(results, Told::kAnswered) == results.size());
 }
 
--- a/test/process_fleet.h
+++ b/test/process_fleet.h
@@ -240,6 +240,22 @@
       [told](const CallResult& result) { return result.told == told; });
 }
 
+// One line for each request without an answer: what its caller was told.
+inline std::string DescribeUnanswered(const std::vector<CallResult>& results) {
+  std::string text;
+  for (const CallResult& result : results) {
+    if (result.told != Told::kAnswered) {
+      const auto intended =
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              result.intended);
+      text += result.work_id + " class " + std::to_string(result.load_class) +
+              " at " + std::to_string(intended.count()) + " ms: status " +
+              std::to_string(result.status) + " " + result.error + "\n";
+    }
+  }
+  return text;
+}
+
 }  // namespace acacia
 
 #endif  // TEST_PROCESS_FLEET_H_
