Read every program's command line in one place

Change: the stand-ins use src/command_line; what was left is standin/stop_on_signal. The event of lapsed ejections names its instance.

--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -164,7 +164,8 @@
   const std::lock_guard lock(this->mutex);
   const Duration age = this->clock.Now() - this->fleet_received;
   if (this->fleet != nullptr && DropLapsedEjections(*this->fleet, age)) {
-    LogEvent("ejections_lapsed", LogSeverity::kWarning);
+    LogEvent("ejections_lapsed", LogSeverity::kWarning)
+        .With("instance", this->context.settings.instance);
     this->Rebuild();
   }
 }
--- a/standin/backend_standin_main.cc
+++ b/standin/backend_standin_main.cc
@@ -2,19 +2,20 @@
 #include <iostream>
 #include <utility>
 
+#include "src/command_line.h"
 #include "src/log_event.h"
 #include "src/settings.h"
 #include "standin/backend_standin.h"
-#include "standin/program.h"
+#include "standin/stop_on_signal.h"
 
 int main(int argc, char** argv) {
   acacia::StartLogging(argv[0]);
-  const auto line = acacia::ReadCommandLine(
+  const auto line = acacia::ParseDaemonCommandLine(
       argc, argv, "backend-standin: emulates one backend server");
-  if (line.exit_code) {
-    return *line.exit_code;
+  if (!line) {
+    return line.error();
   }
-  auto settings = acacia::ReadBackendStandinSettings(line.settings_file);
+  auto settings = acacia::ReadBackendStandinSettings(*line);
   if (!settings) {
     std::cerr << acacia::DescribeAll(settings.error());
     return acacia::kExitUsage;
--- a/standin/fault_proxy_main.cc
+++ b/standin/fault_proxy_main.cc
@@ -2,19 +2,20 @@
 #include <iostream>
 #include <utility>
 
+#include "src/command_line.h"
 #include "src/log_event.h"
 #include "src/settings.h"
 #include "standin/fault_proxy.h"
-#include "standin/program.h"
+#include "standin/stop_on_signal.h"
 
 int main(int argc, char** argv) {
   acacia::StartLogging(argv[0]);
-  const auto line = acacia::ReadCommandLine(
+  const auto line = acacia::ParseDaemonCommandLine(
       argc, argv, "fault-proxy: breaks the path between two processes");
-  if (line.exit_code) {
-    return *line.exit_code;
+  if (!line) {
+    return line.error();
   }
-  auto settings = acacia::ReadFaultProxySettings(line.settings_file);
+  auto settings = acacia::ReadFaultProxySettings(*line);
   if (!settings) {
     std::cerr << acacia::DescribeAll(settings.error());
     return acacia::kExitUsage;
@@ -25,7 +26,7 @@
     std::cerr << listening.error() << "\n";
     return acacia::kExitFailed;
   }
-  acacia::LogEvent("fault_proxy_started").With("settings", line.settings_file);
+  acacia::LogEvent("fault_proxy_started").With("settings", *line);
   acacia::StopOnSignal(io);
   io.run();
   return acacia::kExitOk;
