Put an attempt's answer in a file of its own

Change: what deals with the answer moved to src/proxy_answer.cc as it was; two constants that both use went to the header.

--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
-#include <charconv>
 #include <string_view>
 #include <utility>
 
@@ -18,26 +17,9 @@
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
-constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
-constexpr std::size_t kRelayBytes = 16 * 1024;
 constexpr int kUnwindTurns = 16;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kContinueStatus = 100;
-constexpr int kSwitchingStatus = 101;
-constexpr int kRefusedStatus = 503;
-constexpr int kFirstServerError = 500;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::optional<std::uint32_t> ParseLoad(std::string_view text) {
-  std::uint32_t load = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, load);
-  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return load;
-}
-
 }  // namespace
 
 bool Exchange::Keep(std::string_view piece, bool is_last) {
@@ -344,192 +326,6 @@
   co_return read;
 }
 
-net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ReadAnswerHead() {
-  for (;;) {
-    if (const auto failed = co_await this->ParseAnswerHead()) {
-      co_return failed;
-    }
-    const int status = static_cast<int>(this->parser->get().result_int());
-    if (status >= kFirstFinalStatus) {
-      break;
-    }
-    if (status == kSwitchingStatus) {
-      co_return AttemptResult::kBroken;
-    }
-    if (status == kContinueStatus) {
-      continue;
-    }
-    const bool passed_on = co_await this->RelayInterim();
-    if (!passed_on) {
-      co_return this->Failed(AttemptResult::kCancelled);
-    }
-  }
-  this->head_arrived = true;
-  const auto& head = this->parser->get();
-  const auto echo = head[kRequestIdHeader];
-  if (!echo.empty() && echo != this->request_id) {
-    co_return AttemptResult::kMismatched;
-  }
-  this->NoteAnswerHeaders();
-  if (static_cast<int>(head.result_int()) == kRefusedStatus &&
-      head[kOutcomeHeader] == OutcomeName(Outcome::kNotRun)) {
-    this->DrainSmallAnswer();
-    co_return AttemptResult::kRefused;
-  }
-  co_return std::nullopt;
-}
-
-net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ParseAnswerHead() {
-  boost::beast::flat_buffer& buffer = this->connection->buffer;
-  this->parser = std::make_unique<Parser>();
-  this->parser->header_limit(kMaxAnswerHeadBytes);
-  this->parser->body_limit(boost::none);
-  this->parser->skip(this->exchange.is_head_request);
-  while (!this->parser->is_header_done()) {
-    boost::system::error_code error = http::error::need_more;
-    if (buffer.size() > 0) {
-      buffer.consume(this->parser->put(buffer.data(), error));
-    }
-    if (error == http::error::need_more) {
-      error = co_await FillBuffer(this->connection->socket, buffer, kReadBytes);
-    }
-    if (error) {
-      co_return this->Failed(AttemptResult::kBroken);
-    }
-  }
-  co_return std::nullopt;
-}
-
-// An interim answer (103 and the like) goes on to callers that know HTTP/1.1.
-net::awaitable<bool> ProxyAttempt::RelayInterim() {
-  if (this->exchange.caller_is_http10) {
-    co_return true;
-  }
-  http::response<http::empty_body> interim(this->parser->get().base());
-  StripHopByHop(interim);
-  http::response_serializer<http::empty_body> serializer(interim);
-  const auto [error, bytes] = co_await http::async_write_header(
-      this->owner.Caller().Socket(), serializer, kAwait);
-  this->Progress();
-  co_return !error;
-}
-
-void ProxyAttempt::NoteAnswerHeaders() {
-  const auto& head = this->parser->get();
-  this->leaving = head[kLeavingHeader] == "true";
-  this->load = ParseLoad(head[kLoadHeader]);
-}
-
-// A refusal's body that has arrived with its head is read, so that the
-// connection can be kept.
-void ProxyAttempt::DrainSmallAnswer() {
-  std::vector<char> space(kRelayBytes);
-  const BodyPiece piece = ParseBufferedBody<false>(
-      this->connection->buffer, *this->parser, net::buffer(space));
-  this->Release(!piece.error && this->parser->is_done() &&
-                this->parser->get().keep_alive() && this->request_sent &&
-                this->connection->buffer.size() == 0);
-}
-
-http::response<http::buffer_body> ProxyAttempt::BuildAnswer() {
-  http::response<http::buffer_body> answer(this->parser->get().base());
-  const bool chunked = this->parser->chunked();
-  StripHopByHop(answer);
-  for (const char* name : {kRequestIdHeader, kErrorHeader, kOutcomeHeader,
-                           kLeavingHeader, kLoadHeader}) {
-    answer.erase(name);
-  }
-  answer.version(11);
-  // Without a length the answer ends with the connection.
-  this->ends_with_close =
-      !this->has_no_body && (this->parser->need_eof() ||
-                             (chunked && this->exchange.caller_is_http10));
-  if (chunked && !this->exchange.caller_is_http10) {
-    answer.set(http::field::transfer_encoding, "chunked");
-  }
-  const bool close = this->ends_with_close || !this->request_sent ||
-                     !this->exchange.keep_alive || this->owner.MustClose();
-  this->exchange.keep_alive = !close;
-  if (close) {
-    answer.set(http::field::connection, "close");
-  } else if (this->exchange.caller_is_http10) {
-    answer.set(http::field::connection, "keep-alive");
-  }
-  return answer;
-}
-
-net::awaitable<AttemptResult> ProxyAttempt::Relay() {
-  const int status = static_cast<int>(this->parser->get().result_int());
-  this->success = status >= kFirstServerError ? AttemptResult::kServerError
-                                              : AttemptResult::kSuccess;
-  this->has_no_body =
-      this->exchange.is_head_request || status == 204 || status == 304;
-  this->begun_relay = true;
-  auto answer = this->BuildAnswer();
-  if (!this->has_no_body) {
-    co_return co_await this->RelayBody(std::move(answer));
-  }
-  http::response_serializer<http::buffer_body> serializer(answer);
-  this->EndAnswer();
-  this->AwaitCaller();
-  const auto [error, bytes] = co_await http::async_write_header(
-      this->owner.Caller().Socket(), serializer, kAwait);
-  this->FinishRelay(!error);
-  co_return this->success;
-}
-
-net::awaitable<AttemptResult> ProxyAttempt::RelayBody(
-    http::response<http::buffer_body> answer) {
-  http::response_serializer<http::buffer_body> serializer(answer);
-  std::vector<char> space(kRelayBytes);
-  BodyPiece piece = ParseBufferedBody<false>(this->connection->buffer,
-                                             *this->parser, net::buffer(space));
-  for (;;) {
-    if (piece.error && piece.error != http::error::need_more) {
-      co_return this->Failed(AttemptResult::kTruncated);
-    }
-    const bool done = this->parser->is_done();
-    if (done) {
-      this->EndAnswer();
-    }
-    answer.body().data = piece.bytes > 0 ? space.data() : nullptr;
-    answer.body().size = piece.bytes;
-    answer.body().more = !done;
-    this->AwaitCaller();
-    const auto [error, bytes] = co_await http::async_write(
-        this->owner.Caller().Socket(), serializer, kAwait);
-    this->owner.ExpectCaller(false);
-    if (done || (error && error != http::error::need_buffer)) {
-      this->FinishRelay(!error || error == http::error::need_buffer);
-      co_return this->success;
-    }
-    this->Progress();
-    piece = co_await ReadBodyPiece<false>(this->connection->socket,
-                                          this->connection->buffer,
-                                          *this->parser, net::buffer(space));
-  }
-}
-
-// The backend server's part is over: its slot and connection are free before
-// the caller has read the last bytes.
-void ProxyAttempt::EndAnswer() {
-  const bool whole_request = this->request_sent && !this->upload_failed;
-  const bool reusable = whole_request && !this->parser->need_eof() &&
-                        this->parser->get().keep_alive() &&
-                        this->connection->buffer.size() == 0;
-  this->Release(reusable && !this->uploading);
-  this->due = TimePoint::max();
-  this->ReportEnd(this->success);
-}
-
-void ProxyAttempt::FinishRelay(bool whole) {
-  this->relayed_whole = whole;
-  if (!whole) {
-    this->success = AttemptResult::kCancelled;
-    this->owner.OnCallerFailed(BodyError::kClosed);
-  }
-}
-
 void ProxyAttempt::ReportEnd(AttemptResult result) {
   if (this->reported) {
     return;
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -24,6 +24,9 @@
 
 namespace acacia {
 
+inline constexpr std::size_t kRelayBytes = 16 * 1024;
+inline constexpr int kFirstServerError = 500;
+
 // Request bodies up to this size can be sent again.
 inline constexpr std::size_t kReplayableBodyBytes = 64 * 1024;
 
