Test that agents waiting for the first configuration get it in seconds

Ruled out by this test: the agents' decisions; five that waited a minute have it in force and are ready within the 5 s of the target. Change: the test only. Open: a lone instance hears of the first set at its next poll, after 10 s at the most, since no peer pushes it.

--- a/test/correctness/config_sync_test.cc
+++ b/test/correctness/config_sync_test.cc
@@ -1,5 +1,6 @@
 #include "src/config_sync.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "test/coord_fakes.h"
@@ -25,6 +26,20 @@
   CHECK(fleet.RunUntil(seconds(5), [&] { return fleet.AllAt(Generation(2)); }));
 }
 
+TEST_CASE("agents that waited for the first configuration get it in seconds") {
+  FakeFleet fleet(8);
+  fleet.StartMany(5);
+  fleet.Run(seconds(60));
+  ApplyNext(fleet, "w1");
+  const auto all_ready = [&] {
+    return fleet.AllAt(Generation(1)) &&
+           std::all_of(
+               fleet.nodes.begin(), fleet.nodes.end(),
+               [](const auto& node) { return node.second.core->IsReady(); });
+  };
+  CHECK(fleet.RunUntil(seconds(5), all_ready));
+}
+
 TEST_CASE("a replacement beside peers goes on without the platform") {
   FakeFleet fleet(2);
   fleet.StartMany(5);
