Open listening sockets in one place

Cause: the same lines that parse an address, bind and listen stood in http_server, caller_server and the backend stand-in. Change: src/listener.h's OpenListener serves all three; messages are the same.

--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -6,9 +6,9 @@
 #include <utility>
 #include <vector>
 
+#include "src/listener.h"
 #include "src/log_event.h"
 #include "src/proxy_session.h"
-#include "src/socket_address.h"
 
 namespace acacia {
 namespace {
@@ -90,18 +90,10 @@
 
 tl::expected<void, std::string> CallerServer::Listen(
     const std::string& address) {
-  const auto endpoint = ParseSocketAddress(address);
-  if (!endpoint) {
-    return tl::unexpected("\"" + address + "\" is not an address");
-  }
-  const Tcp::endpoint local(endpoint->address, endpoint->port);
-  boost::system::error_code error;
   Tcp::acceptor& acceptor = this->state->acceptor;
-  if (acceptor.open(local.protocol(), error) ||
-      acceptor.set_option(Tcp::acceptor::reuse_address(true), error) ||
-      acceptor.bind(local, error) ||
-      acceptor.listen(Tcp::acceptor::max_listen_connections, error)) {
-    return tl::unexpected(address + ": " + error.message());
+  auto opened = OpenListener(acceptor, address);
+  if (!opened) {
+    return opened;
   }
   net::co_spawn(acceptor.get_executor(), this->state->Accept(),
                 [keep = this->state](const std::exception_ptr&) {});
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -4,8 +4,8 @@
 #include <boost/beast.hpp>
 #include <utility>
 
+#include "src/listener.h"
 #include "src/lower_case.h"
-#include "src/socket_address.h"
 
 namespace acacia {
 namespace {
@@ -111,18 +111,10 @@
 }
 
 tl::expected<void, std::string> HttpServer::Listen(const std::string& address) {
-  const auto endpoint = ParseSocketAddress(address);
-  if (!endpoint) {
-    return tl::unexpected("\"" + address + "\" is not an address");
-  }
-  const Tcp::endpoint local(endpoint->address, endpoint->port);
-  boost::system::error_code error;
   Tcp::acceptor& acceptor = this->state->acceptor;
-  if (acceptor.open(local.protocol(), error) ||
-      acceptor.set_option(Tcp::acceptor::reuse_address(true), error) ||
-      acceptor.bind(local, error) ||
-      acceptor.listen(Tcp::acceptor::max_listen_connections, error)) {
-    return tl::unexpected(address + ": " + error.message());
+  auto opened = OpenListener(acceptor, address);
+  if (!opened) {
+    return opened;
   }
   net::co_spawn(acceptor.get_executor(), Accept(this->state), net::detached);
   return {};
--- a/standin/backend_standin.cc
+++ b/standin/backend_standin.cc
@@ -11,7 +11,7 @@
 #include <sstream>
 #include <utility>
 
-#include "src/socket_address.h"
+#include "src/listener.h"
 #include "standin/backend_state.h"
 #include "standin/work_body.h"
 
@@ -485,18 +485,10 @@
 
 tl::expected<void, std::string> BackendStandin::Listen() {
   const std::string& address = this->state->backend.settings.listen;
-  const auto endpoint = ParseSocketAddress(address);
-  if (!endpoint) {
-    return tl::unexpected("\"" + address + "\" is not an address");
-  }
-  const Tcp::endpoint local(endpoint->address, endpoint->port);
-  boost::system::error_code error;
   Tcp::acceptor& acceptor = this->state->acceptor;
-  if (acceptor.open(local.protocol(), error) ||
-      acceptor.set_option(Tcp::acceptor::reuse_address(true), error) ||
-      acceptor.bind(local, error) ||
-      acceptor.listen(Tcp::acceptor::max_listen_connections, error)) {
-    return tl::unexpected(address + ": " + error.message());
+  auto opened = OpenListener(acceptor, address);
+  if (!opened) {
+    return opened;
   }
   net::co_spawn(acceptor.get_executor(), Accept(this->state), net::detached);
   return {};
