--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -6,11 +6,14 @@
 #include <boost/program_options.hpp>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <thread>
 
+#include "platform/host_adapter.h"
 #include "src/clock.h"
 #include "src/entry_server.h"
+#include "src/host_control.h"
 #include "src/log_event.h"
 #include "src/settings.h"
 
@@ -64,13 +67,43 @@
       });
 }
 
+// The time from SIGTERM to SIGKILL that is left unused.
+constexpr std::chrono::milliseconds kKillMargin{150};
+
+// An entry on a host platform speaks its dialect and has no agent.
+acacia::EntryPolicy MakePolicy(const acacia::schema::EntrySettingsT& settings,
+                               const acacia::HostAdapter* adapter) {
+  acacia::EntryPolicy policy;
+  if (adapter != nullptr) {
+    policy.dialect = adapter->dialect;
+    policy.close_while_leaving = true;
+    policy.longest_stop =
+        std::chrono::duration_cast<acacia::Duration>(
+            std::chrono::duration<double>(settings.host_platform->grace_s)) -
+        kKillMargin;
+  }
+  return policy;
+}
+
 int Serve(const acacia::schema::EntrySettingsT& settings) {
   const acacia::SystemClock clock;
-  acacia::EntryServer server(settings, clock);
+  std::optional<acacia::HostAdapter> adapter;
+  if (settings.host_platform) {
+    adapter = acacia::platform::MakeHostAdapter(*settings.host_platform);
+  }
+  acacia::EntryServer server(settings, clock,
+                             MakePolicy(settings, adapter ? &*adapter : nullptr));
+  std::optional<acacia::HostControl> control;
+  if (adapter) {
+    control.emplace(settings, *adapter, server, clock);
+  }
   boost::asio::io_context signal_context;
   boost::asio::signal_set signals(signal_context, SIGTERM, SIGINT);
   HandleSignals(signals, server, false);
-  const auto started = server.Start();
+  auto started = server.Start();
+  if (started && control) {
+    started = control->Start();
+  }
   if (!started) {
     acacia::LogEvent("cannot_listen", acacia::LogSeverity::kError)
         .With("reason", started.error());
--- a/src/backend_connection.cc
+++ b/src/backend_connection.cc
@@ -19,10 +19,6 @@
 using UserTimeout =
     net::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
-constexpr int kKeepIdleSeconds = 10;
-constexpr int kKeepIntervalSeconds = 3;
-constexpr int kKeepCount = 3;
-
 // Still open and nothing to read: an idle connection that holds bytes has an
 // answer that nobody asked for.
 bool IsQuiet(BackendConnection& connection) {
@@ -41,15 +37,17 @@
 
 }  // namespace
 
-void SetStreamOptions(net::ip::tcp::socket& socket, Duration user_timeout) {
+void SetStreamOptions(net::ip::tcp::socket& socket,
+                      Duration user_timeout,
+                      const KeepAlive& keep_alive) {
   const auto milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(user_timeout);
   boost::system::error_code ignored;
   socket.set_option(net::ip::tcp::no_delay(true), ignored);
   socket.set_option(net::socket_base::keep_alive(true), ignored);
-  socket.set_option(KeepIdle(kKeepIdleSeconds), ignored);
-  socket.set_option(KeepInterval(kKeepIntervalSeconds), ignored);
-  socket.set_option(KeepCount(kKeepCount), ignored);
+  socket.set_option(KeepIdle(keep_alive.idle_seconds), ignored);
+  socket.set_option(KeepInterval(keep_alive.interval_seconds), ignored);
+  socket.set_option(KeepCount(keep_alive.count), ignored);
   socket.set_option(UserTimeout(static_cast<int>(milliseconds.count())),
                     ignored);
 }
--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -31,16 +31,27 @@
   boost::beast::flat_buffer buffer;
   // When the last whole answer arrived.
   TimePoint proven;
+  // The backend server closes the connection when it is idle for so long; zero:
+  // it did not say.
+  Duration idle_limit{};
 };
 
 using BackendConnectionPtr = std::unique_ptr<BackendConnection>;
 
 enum class ConnectionNeed { kAny, kProven };
 
+// Probes of an idle connection.
+struct KeepAlive {
+  int idle_seconds = 10;
+  int interval_seconds = 3;
+  int count = 3;
+};
+
 // Sets the options of every connection that the data path uses: no delay,
 // keep-alive probes, and the time after which unacknowledged bytes end it.
 void SetStreamOptions(boost::asio::ip::tcp::socket& socket,
-                      Duration user_timeout);
+                      Duration user_timeout,
+                      const KeepAlive& keep_alive = {});
 
 // Counts the connections of each backend server against a limit and keeps idle
 // ones. The newest idle connection is used first. Thread-safe.
--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -195,7 +195,7 @@
       Contains(request.excluded, backend.server.id)) {
     return false;
   }
-  if (request.work_class == WorkClass::kShort) {
+  if (request.work.work_class == WorkClass::kShort) {
     return true;
   }
   return backend.long_host &&
@@ -219,7 +219,7 @@
   if (PooledBackend* trickle = this->PickTrickle(request, now)) {
     return trickle;
   }
-  const bool long_work = request.work_class == WorkClass::kLong;
+  const bool long_work = request.work.work_class == WorkClass::kLong;
   this->UpdateSplit(long_work, now);
   if (long_work) {
     return this->PickIn(this->long_hosts, request, now);
@@ -245,7 +245,7 @@
 // again: one that may be tried elsewhere.
 PooledBackend* BackendPool::PickTrickle(const PickRequest& request,
                                         TimePoint now) {
-  if (!request.idempotent || request.work_class != WorkClass::kShort ||
+  if (!request.work.idempotent || request.work.work_class != WorkClass::kShort ||
       !request.excluded.empty()) {
     return nullptr;
   }
@@ -360,18 +360,18 @@
 }
 
 void BackendPool::OnStart(PooledBackend& backend,
-                          WorkClass work_class,
+                          const Work& work,
                           TimePoint now) {
   backend.health.OnStart(now);
-  ++backend.in_flight[IndexOf(work_class)];
+  ++backend.in_flight[IndexOf(work.work_class)];
   ++backend.counts.attempts;
 }
 
 void BackendPool::OnRelease(PooledBackend& backend,
-                            WorkClass work_class,
+                            const Work& work,
                             bool was_overdue) {
   backend.overdue -= was_overdue ? 1 : 0;
-  --backend.in_flight[IndexOf(work_class)];
+  --backend.in_flight[IndexOf(work.work_class)];
   if (!backend.in_view && backend.InFlight() == 0) {
     this->backends.erase(BackendId(backend.server.id));
   }
@@ -406,8 +406,8 @@
       return;
     case AttemptResult::kSuccess: {
       backend.limit.OnAnswer(backend.InFlight(), now);
-      const std::optional<Duration> slow = this->SlowAfter(attempt.work_class);
-      this->health.AddLatency(backend.health, attempt.work_class, latency, now);
+      const std::optional<Duration> slow = this->SlowAfter(attempt.work);
+      this->health.AddLatency(backend.health, attempt.work.work_class, latency, now);
       if (attempt.was_overdue) {
         return;
       }
@@ -426,6 +426,7 @@
 }
 
 void BackendPool::OnOverdue(PooledBackend& backend,
+                            const Work& /*work*/,
                             TimePoint started,
                             TimePoint now) {
   ++backend.overdue;
@@ -451,12 +452,12 @@
   }
 }
 
-std::optional<Duration> BackendPool::SlowAfter(WorkClass work_class) const {
-  return this->health.SlowAfter(work_class);
+std::optional<Duration> BackendPool::SlowAfter(const Work& work) const {
+  return this->health.SlowAfter(work.work_class);
 }
 
-Duration BackendPool::MedianLatency(WorkClass work_class) const {
-  return this->health.MedianLatency(work_class);
+Duration BackendPool::MedianLatency(const Work& work) const {
+  return this->health.MedianLatency(work.work_class);
 }
 
 std::optional<TimePoint> BackendPool::NextOpening(TimePoint now) const {
--- a/src/backend_pool.h
+++ b/src/backend_pool.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "src/backend_chooser.h"
 #include "src/clock.h"
 #include "src/dispatcher.h"
 #include "src/ids.h"
@@ -24,22 +25,6 @@
 
 namespace acacia {
 
-// How an attempt went, as far as its backend server is concerned.
-struct AttemptOutcome {
-  WorkClass work_class = WorkClass::kShort;
-  AttemptResult result = AttemptResult::kSuccess;
-  TimePoint started;
-  // It was reported as overdue before.
-  bool was_overdue = false;
-};
-
-struct PickRequest {
-  WorkClass work_class = WorkClass::kShort;
-  bool idempotent = false;
-  // Where the request has failed before.
-  const std::vector<BackendId>& excluded;
-};
-
 // The backend servers that one kind of work may use, in order of preference.
 struct Neighbourhood {
   std::vector<PooledBackend*> homes;
@@ -56,38 +41,38 @@
   bool operator==(const RoleInputs&) const = default;
 };
 
-class BackendPool {
+class BackendPool : public BackendChooser {
  public:
   BackendPool(ServiceName service, InstanceId self, RandomSource& random);
 
-  void Apply(const ServiceView& view, TimePoint now);
-
-  // Null when no backend server has room.
-  PooledBackend* Pick(const PickRequest& request, TimePoint now);
-  // True when a backend server in service is not excluded.
-  bool HasChoice(const std::vector<BackendId>& excluded) const;
-
-  void OnStart(PooledBackend& backend, WorkClass work_class, TimePoint now);
-  // Frees the slot; the reference is invalid afterwards.
+  void Apply(const ServiceView& view, TimePoint now) override;
+  PooledBackend* Pick(const PickRequest& request, TimePoint now) override;
+  bool HasChoice(const std::vector<BackendId>& excluded) const override;
+  void OnStart(PooledBackend& backend,
+               const Work& work,
+               TimePoint now) override;
   void OnRelease(PooledBackend& backend,
-                 WorkClass work_class,
-                 bool was_overdue);
-  // The service is full: only home backend servers get work for a moment.
-  void PauseSpill(TimePoint now);
+                 const Work& work,
+                 bool was_overdue) override;
+  // Only home backend servers get work for a moment.
+  void PauseSpill(TimePoint now) override;
   void OnOutcome(PooledBackend& backend,
-                 const AttemptOutcome& outcome,
-                 TimePoint now);
-  // An attempt has taken longer than SlowAfter and still runs.
-  void OnOverdue(PooledBackend& backend, TimePoint started, TimePoint now);
-  std::optional<Duration> SlowAfter(WorkClass work_class) const;
-  Duration MedianLatency(WorkClass work_class) const;
-  void OnLeavingSeen(PooledBackend& backend, TimePoint now);
-
-  // When a backend server that is closed for the moment opens again.
-  std::optional<TimePoint> NextOpening(TimePoint now) const;
-
-  std::vector<schema::BackendEvidenceT> TakeEvidence();
-  std::vector<std::string> Explain(TimePoint now) const;
+                 const AttemptOutcome& attempt,
+                 TimePoint now) override;
+  // Reports lag and may mislead; they are not used.
+  void OnReportedLoad(PooledBackend& /*backend*/,
+                      const ReportedLoad& /*load*/,
+                      TimePoint /*now*/) override {}
+  void OnOverdue(PooledBackend& backend,
+                 const Work& work,
+                 TimePoint started,
+                 TimePoint now) override;
+  std::optional<Duration> SlowAfter(const Work& work) const override;
+  Duration MedianLatency(const Work& work) const override;
+  void OnLeavingSeen(PooledBackend& backend, TimePoint now) override;
+  std::optional<TimePoint> NextOpening(TimePoint now) const override;
+  std::vector<schema::BackendEvidenceT> TakeEvidence() override;
+  std::vector<std::string> Explain(TimePoint now) const override;
 
  private:
   PooledBackend* PickTrickle(const PickRequest& request, TimePoint now);
--- /dev/null
+++ b/src/base64.cc
@@ -0,0 +1,46 @@
+#include "src/base64.h"
+
+#include <openssl/evp.h>
+
+namespace acacia {
+namespace {
+
+// Four letters stand for three bytes.
+constexpr std::size_t kLetters = 4;
+constexpr std::size_t kBytes = 3;
+
+}  // namespace
+
+std::string EncodeBase64(std::string_view bytes) {
+  std::string text((bytes.size() + kBytes - 1) / kBytes * kLetters + 1, '\0');
+  const int size =
+      EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                      reinterpret_cast<const unsigned char*>(bytes.data()),
+                      static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(size));
+  return text;
+}
+
+std::optional<std::string> DecodeBase64(std::string_view text) {
+  if (text.size() % kLetters != 0) {
+    return std::nullopt;
+  }
+  std::string bytes(text.size() / kLetters * kBytes, '\0');
+  const int size =
+      EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                      reinterpret_cast<const unsigned char*>(text.data()),
+                      static_cast<int>(text.size()));
+  if (size < 0) {
+    return std::nullopt;
+  }
+  // The padding decodes to bytes of zero.
+  std::size_t padding = 0;
+  while (padding < 2 && text.size() > padding &&
+         text[text.size() - 1 - padding] == '=') {
+    ++padding;
+  }
+  bytes.resize(static_cast<std::size_t>(size) - padding);
+  return bytes;
+}
+
+}  // namespace acacia
--- a/src/caller_headers.cc
+++ b/src/caller_headers.cc
@@ -105,7 +105,8 @@
 }
 
 tl::expected<CallerOptions, ErrorKind> ReadCallerOptions(
-    const http::request_header<>& head) {
+    const http::request_header<>& head,
+    const std::string& deadline_header) {
   CallerOptions options;
   options.account = AccountId(std::string(head[kAccountHeader]));
   options.key = std::string(head[kKeyHeader]);
@@ -118,7 +119,7 @@
   } else if (!idempotent.empty()) {
     return tl::unexpected(ErrorKind::kBadRequest);
   }
-  const std::string_view deadline = head[kDeadlineHeader];
+  const std::string_view deadline = head[deadline_header];
   if (!deadline.empty()) {
     std::uint32_t milliseconds = 0;
     const char* end = deadline.data() + deadline.size();
--- a/src/caller_headers.h
+++ b/src/caller_headers.h
@@ -50,7 +50,8 @@
 
 // Error: kBadRequest.
 tl::expected<CallerOptions, ErrorKind> ReadCallerOptions(
-    const boost::beast::http::request_header<>& head);
+    const boost::beast::http::request_header<>& head,
+    const std::string& deadline_header = kDeadlineHeader);
 
 bool IsIdempotent(const Route& route,
                   std::string_view method,
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -26,9 +27,21 @@
   BackendId id;
   FailureDomain failure_domain;
   std::uint32_t slots = 1;
+  // Where it listens, "ip:port"; the id when empty.
+  std::string address{};
+  // The name under which it expects requests; empty: it does not check.
+  std::string expected_instance{};
   bool operator==(const BackendServer&) const = default;
 };
 
+// Bounds the extra attempts of the whole fleet at a service: within any
+// `window`, `ratio` of the service's requests and `extra` more.
+struct RetryWindow {
+  double ratio = 0;
+  double extra = 0;
+  Duration window{};
+};
+
 struct ServicePolicy {
   std::uint32_t slots_per_backend_server = 1;
   std::uint32_t max_connections_per_backend_server = 300;
@@ -37,6 +50,8 @@
   std::uint32_t long_slots_percent = 60;
   std::uint32_t queue_length = 200;
   std::uint32_t retry_budget_percent = 10;
+  // Replaces retry_budget_percent when set.
+  std::optional<RetryWindow> retry_window;
   Duration progress_timeout = std::chrono::seconds(5);
 };
 
@@ -49,17 +64,31 @@
   ServicePolicy policy;
 };
 
+// One of the services that share a route's requests.
+struct WeightedService {
+  ServiceName service;
+  double weight = 1;
+};
+
 struct Route {
   std::string name;
   std::string host;
   std::string path_prefix;
   std::vector<std::string> methods;
   ServiceName service;
+  // Shares the requests out by weight, in place of `service`, when not empty.
+  std::vector<WeightedService> split;
   WorkClass work_class = WorkClass::kShort;
   Idempotency idempotency = Idempotency::kByMethod;
   Duration deadline = std::chrono::seconds(5);
   std::uint64_t max_body_bytes = 0;
   bool claim_keys = false;
+  // Backend servers that one request may be sent to; 0: no bound.
+  std::uint32_t max_attempts = 0;
+  // An answer is useful up to this time; zero: not stated.
+  Duration target_latency{};
+  // 0 is the most urgent.
+  std::uint32_t priority = 0;
 };
 
 struct AccountLimit {
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -7,10 +7,12 @@
 
 #include "src/account_limiter.h"
 #include "src/admission_queue.h"
+#include "src/backend_chooser.h"
 #include "src/backend_pool.h"
 #include "src/check.h"
 #include "src/request_state.h"
 #include "src/retry_budget.h"
+#include "src/windowed_retry_budget.h"
 
 namespace acacia {
 
@@ -30,8 +32,13 @@
 struct Dispatcher::State {
   State(const ServiceName& service,
         const InstanceId& self,
-        std::unique_ptr<RandomSource> source)
-      : random(std::move(source)), pool(service, self, *this->random) {}
+        std::unique_ptr<RandomSource> source,
+        const ChooserFactory& make_chooser)
+      : random(std::move(source)),
+        pool(make_chooser ? make_chooser(service, self, *this->random)
+                          : std::make_unique<BackendPool>(service,
+                                                          self,
+                                                          *this->random)) {}
 
   RequestState* Find(RequestId request);
   bool Admit(const Work& work, TimePoint now);
@@ -48,6 +55,8 @@
                 bool replayable,
                 TimePoint now);
   bool MayRetryRefused(TimePoint now);
+  bool HasSendsLeft(const RequestState& request) const;
+  bool SpendRetry(TimePoint now);
   void Retry(RequestState& request, TimePoint now);
   void Refuse(RequestId request, ErrorKind not_run_kind);
   void Finish(RequestId request);
@@ -63,9 +72,11 @@
   DispatchActions TakeActions(TimePoint now);
 
   std::unique_ptr<RandomSource> random;
-  BackendPool pool;
+  std::unique_ptr<BackendChooser> pool;
   AdmissionQueue queue;
   RetryBudget budget;
+  // In force in place of `budget` when the policy says so.
+  std::optional<WindowedRetryBudget> windowed_budget;
   AccountLimiter account_limiter;
   std::shared_ptr<const AccountLimits> accounts;
   std::unordered_map<RequestId, RequestState> requests;
@@ -94,7 +105,7 @@
   const Work& work = request.work;
   const WaitingRequest waiting{
       work.request, work.account, work.work_class,
-      work.deadline - this->pool.MedianLatency(work.work_class)};
+      work.deadline - this->pool->MedianLatency(work)};
   const std::optional<RequestId> shed = this->queue.Push(waiting, now);
   if (shed) {
     this->Refuse(*shed, ErrorKind::kQueueFull);
@@ -102,8 +113,7 @@
 }
 
 bool Dispatcher::State::TryStart(RequestState& request, TimePoint now) {
-  PooledBackend* backend = this->pool.Pick(
-      {request.work.work_class, request.work.idempotent, request.failed}, now);
+  PooledBackend* backend = this->pool->Pick({request.work, request.failed}, now);
   if (backend == nullptr) {
     return false;
   }
@@ -117,15 +127,17 @@
   const Work& work = request.work;
   request.last_attempt = request.last_attempt.Next();
   RunningAttempt attempt{request.last_attempt, &backend, now, {}, false};
-  if (const auto slow = this->pool.SlowAfter(work.work_class)) {
+  if (const auto slow = this->pool->SlowAfter(work)) {
     attempt.overdue_at = now + *slow;
     this->by_overdue.emplace(now + *slow, work.request, attempt.id);
   }
   request.running.push_back(attempt);
-  this->pool.OnStart(backend, work.work_class, now);
+  this->pool->OnStart(backend, work, now);
   this->by_deadline.emplace(work.deadline, work.request);
   this->actions.push_back(StartAttempt{work.request, request.last_attempt,
-                                       backend.server.id, !work.idempotent});
+                                       backend.server.id, !work.idempotent,
+                                       backend.server.address,
+                                       backend.server.expected_instance});
 }
 
 void Dispatcher::State::Pump(TimePoint now) {
@@ -151,7 +163,7 @@
   }
   std::vector<RequestId> hopeless;
   for (const auto& [id, request] : this->requests) {
-    if (request.running.empty() && !this->pool.HasChoice(request.failed)) {
+    if (request.running.empty() && !this->pool->HasChoice(request.failed)) {
       hopeless.push_back(id);
     }
   }
@@ -170,7 +182,7 @@
   const bool was_overdue = found->was_overdue;
   this->ForgetOverdue(request, *found);
   request.running.erase(found);
-  this->pool.OnRelease(*backend, request.work.work_class, was_overdue);
+  this->pool->OnRelease(*backend, request.work, was_overdue);
   if (request.running.empty()) {
     this->by_deadline.erase({request.work.deadline, request.work.request});
   }
@@ -198,27 +210,41 @@
                                  bool replayable,
                                  TimePoint now) {
   const bool not_run = !UncertainKind(result).has_value();
-  const Duration needed = this->pool.MedianLatency(request.work.work_class);
+  const Duration needed = this->pool->MedianLatency(request.work);
   if (!replayable || now + needed >= request.work.deadline ||
       request.last_attempt.Value() >= kMostAttempts ||
-      !this->pool.HasChoice(request.failed)) {
+      !this->HasSendsLeft(request) || !this->pool->HasChoice(request.failed)) {
     return false;
   }
-  if (result == AttemptResult::kRefused) {
+  if (this->windowed_budget && result == AttemptResult::kNotSent) {
+    // Nothing arrived anywhere, so nothing is spent.
+    return true;
+  }
+  if (result == AttemptResult::kRefused && !this->windowed_budget) {
     return this->MayRetryRefused(now);
   }
   if (!not_run && (!request.work.idempotent ||
                    request.uncertain_attempts >= kMostUncertainAttempts)) {
     return false;
   }
-  return this->budget.Spend();
+  return this->SpendRetry(now);
+}
+
+bool Dispatcher::State::HasSendsLeft(const RequestState& request) const {
+  return request.work.max_attempts == 0 ||
+         request.sends + request.running.size() < request.work.max_attempts;
+}
+
+bool Dispatcher::State::SpendRetry(TimePoint now) {
+  return this->windowed_budget ? this->windowed_budget->Spend(now)
+                               : this->budget.Spend();
 }
 
 bool Dispatcher::State::MayRetryRefused(TimePoint now) {
   if (this->budget.SpendAfterRefusal()) {
     return true;
   }
-  this->pool.PauseSpill(now);
+  this->pool->PauseSpill(now);
   return this->budget.HasAnswered(now);
 }
 
@@ -253,10 +279,9 @@
   if (result == AttemptResult::kSuccess) {
     this->budget.OnAnswer(now);
   }
-  this->pool.OnOutcome(
+  this->pool->OnOutcome(
       *attempt.backend,
-      {request.work.work_class, result, attempt.started, attempt.was_overdue},
-      now);
+      {request.work, result, attempt.started, attempt.was_overdue}, now);
 }
 
 void Dispatcher::State::ExpireRunning(TimePoint now) {
@@ -286,25 +311,27 @@
     RunningAttempt& attempt = *request.FindAttempt(attempt_id);
     this->ForgetOverdue(request, attempt);
     attempt.was_overdue = true;
-    this->pool.OnOverdue(*attempt.backend, attempt.started, now);
+    this->pool->OnOverdue(*attempt.backend, request.work, attempt.started,
+                          now);
     this->Hedge(request, now);
   }
 }
 
 void Dispatcher::State::Hedge(RequestState& request, TimePoint now) {
   const Work& work = request.work;
-  const Duration needed = this->pool.MedianLatency(work.work_class);
+  const Duration needed = this->pool->MedianLatency(work);
   if (!work.hedgeable || !work.idempotent ||
       work.work_class != WorkClass::kShort || request.running.size() != 1 ||
-      request.last_attempt.Value() >= kMostAttempts || !this->queue.IsEmpty() ||
+      request.last_attempt.Value() >= kMostAttempts ||
+      !this->HasSendsLeft(request) || !this->queue.IsEmpty() ||
       now + needed >= work.deadline) {
     return;
   }
   std::vector<BackendId> excluded = request.failed;
   excluded.push_back(request.running.front().backend->server.id);
   PooledBackend* backend =
-      this->pool.Pick({work.work_class, true, excluded}, now);
-  if (backend != nullptr && this->budget.Spend()) {
+      this->pool->Pick({work, excluded}, now);
+  if (backend != nullptr && this->SpendRetry(now)) {
     this->StartOn(request, *backend, now);
   }
 }
@@ -321,7 +348,7 @@
     sooner(std::get<TimePoint>(*this->by_overdue.begin()));
   }
   if (!this->queue.IsEmpty()) {
-    sooner(std::min(this->pool.NextOpening(now).value_or(now + kQueuePoll),
+    sooner(std::min(this->pool->NextOpening(now).value_or(now + kQueuePoll),
                     now + kQueuePoll));
   }
 }
@@ -336,15 +363,25 @@
                        const InstanceId& self,
                        std::unique_ptr<RandomSource> random,
                        const ServiceView& view,
-                       TimePoint now)
-    : state(std::make_unique<State>(service, self, std::move(random))) {
+                       TimePoint now,
+                       const ChooserFactory& make_chooser)
+    : state(std::make_unique<State>(service,
+                                    self,
+                                    std::move(random),
+                                    make_chooser)) {
   this->OnView(view, now);
 }
 
 Dispatcher::~Dispatcher() = default;
 
 DispatchActions Dispatcher::OnView(const ServiceView& view, TimePoint now) {
-  this->state->pool.Apply(view, now);
+  this->state->pool->Apply(view, now);
+  if (view.policy.retry_window) {
+    if (!this->state->windowed_budget) {
+      this->state->windowed_budget.emplace();
+    }
+    this->state->windowed_budget->Configure(*view.policy.retry_window);
+  }
   this->state->queue.Configure(view.policy.queue_length);
   this->state->budget.Configure(view.policy.retry_budget_percent);
   this->state->accounts = view.accounts;
@@ -362,9 +399,12 @@
   request.work = work;
   request.account_limited = limited;
   state.budget.OnRequest();
+  if (state.windowed_budget) {
+    state.windowed_budget->OnRequest(now);
+  }
   if (work.deadline <= now) {
     state.Refuse(work.request, ErrorKind::kDeadlineTooShort);
-  } else if (!state.pool.HasChoice({})) {
+  } else if (!state.pool->HasChoice({})) {
     state.Refuse(work.request, ErrorKind::kNoBackend);
   } else if (state.queue.Size(work.work_class) > 0 ||
              !state.TryStart(request, now)) {
@@ -396,6 +436,7 @@
     if (others || state.MayRetry(*request, result, replayable, now)) {
       state.actions.push_back(CancelAttempt{request_id, attempt_id});
       state.EndAttempt(*request, attempt_id);
+      ++request->sends;
       if (!others) {
         state.Retry(*request, now);
       }
@@ -426,7 +467,10 @@
     return {};
   }
   if (report.leaving) {
-    state.pool.OnLeavingSeen(*attempt->backend, now);
+    state.pool->OnLeavingSeen(*attempt->backend, now);
+  }
+  if (report.reported_load) {
+    state.pool->OnReportedLoad(*attempt->backend, *report.reported_load, now);
   }
   if (request->relayed) {
     if (report.result != AttemptResult::kSuccess &&
@@ -442,7 +486,10 @@
   if (uncertain || report.result == AttemptResult::kSuccess) {
     request->MarkUncertain(uncertain.value_or(ErrorKind::kInternal));
   }
-  if (report.result != AttemptResult::kRefused) {
+  if (report.result != AttemptResult::kNotSent) {
+    ++request->sends;
+  }
+  if (report.result != AttemptResult::kRefused || state.windowed_budget) {
     request->failed.push_back(attempt->backend->server.id);
   }
   state.EndAttempt(*request, report.attempt);
@@ -486,7 +533,7 @@
 
 std::vector<schema::BackendEvidenceT> Dispatcher::TakeEvidence(
     TimePoint /*now*/) {
-  return this->state->pool.TakeEvidence();
+  return this->state->pool->TakeEvidence();
 }
 
 std::uint32_t Dispatcher::InFlight() const {
@@ -494,7 +541,7 @@
 }
 
 std::vector<std::string> Dispatcher::Explain(TimePoint now) const {
-  return this->state->pool.Explain(now);
+  return this->state->pool->Explain(now);
 }
 
 }  // namespace acacia
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -11,6 +11,7 @@
 #define SRC_DISPATCHER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -26,6 +27,7 @@
 #include "src/generated/entry_link_generated.h"
 #include "src/ids.h"
 #include "src/random_source.h"
+#include "src/reported_load.h"
 
 namespace acacia {
 
@@ -39,6 +41,11 @@
   // beside the first.
   bool hedgeable = false;
   TimePoint deadline;
+  // Backend servers that it may be sent to; 0: no bound.
+  std::uint32_t max_attempts = 0;
+  // Requests with the same key take similar times.
+  std::string latency_key{};
+  std::uint64_t body_bytes = 0;
 };
 
 // How one attempt ended. Only kSuccess means that the caller got, or may get,
@@ -74,7 +81,7 @@
   // The backend server said that it is leaving.
   bool leaving = false;
   // The backend server's own report of its load, 0 to 1000; lags and may lie.
-  std::optional<std::uint32_t> reported_load_permille;
+  std::optional<ReportedLoad> reported_load;
 };
 
 struct StartAttempt {
@@ -83,6 +90,9 @@
   BackendId backend;
   // Use a new connection or one that answered within kRecentlyProven.
   bool proven_connection = false;
+  // Of the backend server.
+  std::string address{};
+  std::string expected_instance{};
 };
 
 // Stop the attempt and close its connection; no report is expected.
@@ -125,13 +135,23 @@
   std::shared_ptr<const AccountLimits> accounts;
 };
 
+class BackendChooser;
+
+// Makes the policy that chooses backend servers; the random source outlives it.
+using ChooserFactory =
+    std::function<std::unique_ptr<BackendChooser>(const ServiceName& service,
+                                                  const InstanceId& self,
+                                                  RandomSource& random)>;
+
 class Dispatcher {
  public:
+  // Without a factory: BackendPool.
   Dispatcher(const ServiceName& service,
              const InstanceId& self,
              std::unique_ptr<RandomSource> random,
              const ServiceView& view,
-             TimePoint now);
+             TimePoint now,
+             const ChooserFactory& make_chooser = {});
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -10,6 +10,7 @@
 
 #include "src/backend_connection.h"
 #include "src/clock.h"
+#include "src/dialect.h"
 #include "src/entry_metrics.h"
 #include "src/entry_snapshot.h"
 #include "src/generated/entry_link_generated.h"
@@ -35,8 +36,10 @@
                const Clock& clock,
                const boost::asio::any_io_executor& executor,
                DispatcherFactory factory,
-               std::uint64_t seed)
+               std::uint64_t seed,
+               Dialect dialect)
       : settings(settings),
+        dialect(std::move(dialect)),
         clock(clock),
         services(executor, registry, clock, std::move(factory)),
         spans(settings.trace_file),
@@ -49,12 +52,18 @@
     const std::lock_guard lock(this->random_mutex);
     return StartTrace(this->random);
   }
+  // A number from 0 to below 1, for shares.
+  double RandomFraction() {
+    const std::lock_guard lock(this->random_mutex);
+    return this->random.Fraction();
+  }
   TraceContext NewChild(const TraceContext& parent) {
     const std::lock_guard lock(this->random_mutex);
     return StartChild(parent, this->random);
   }
 
   const schema::EntrySettingsT settings;
+  const Dialect dialect;
   const Clock& clock;
   SnapshotHolder snapshot;
   RequestRegistry registry;
@@ -64,6 +73,8 @@
   SpanWriter spans;
   // Makes request ids differ between instances and restarts.
   const std::string process_tag;
+  // Connections close after the answer as soon as the entry leaves.
+  bool close_while_leaving = false;
   std::atomic<EntryPhase> phase{EntryPhase::kServing};
   std::atomic<std::uint32_t> connections{0};
   // Requests between their head and the end of their answer.
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <condition_variable>
+#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -39,11 +40,16 @@
 }  // namespace
 
 struct EntryServer::State {
-  State(const schema::EntrySettingsT& settings, const Clock& clock);
+  State(const schema::EntrySettingsT& settings,
+        const Clock& clock,
+        EntryPolicy policy);
 
+  EntryLinkHooks MakeLinkHooks();
   std::unique_ptr<Dispatcher> MakeDispatcher(const ServiceName& service,
                                              const ServiceView& view);
   void OnConfiguration(const schema::ConfigurationUpdateT& update);
+  void PutInForce(std::shared_ptr<const Configuration> next);
+  void ReportSoon();
   void OnFleet(std::unique_ptr<schema::FleetUpdateT> update);
   void LapseEjections();
   void Rebuild();
@@ -66,7 +72,10 @@
   net::strand<net::any_io_executor> strand;
   CallerServer callers;
   OperatorServer operators;
-  EntryLink link;
+  // Empty without an agent.
+  std::optional<EntryLink> link;
+  const EntryPolicy policy;
+  std::function<void()> on_stop;
 
   // Configuration, fleet and snapshot are changed under this lock; it comes
   // before the service table's.
@@ -86,7 +95,8 @@
 };
 
 EntryServer::State::State(const schema::EntrySettingsT& settings,
-                          const Clock& clock)
+                          const Clock& clock,
+                          EntryPolicy policy)
     : seed(SeedOf(settings)),
       clock(clock),
       io(static_cast<int>(settings.worker_threads)),
@@ -97,37 +107,54 @@
           [this](const ServiceName& service, const ServiceView& view) {
             return this->MakeDispatcher(service, view);
           },
-          seed),
+          seed,
+          policy.dialect),
       strand(net::make_strand(net::any_io_executor(io.get_executor()))),
       callers(io.get_executor(), context),
       operators(io.get_executor(),
                 settings.operator_token,
                 this->MakeOperatorHandlers()),
-      link(io.get_executor(),
-           settings.agent_address,
-           seed,
-           {[this](std::unique_ptr<schema::ConfigurationUpdateT> update) {
-              this->OnConfiguration(*update);
-            },
-            [this](std::unique_ptr<schema::FleetUpdateT> update) {
-              this->OnFleet(std::move(update));
-            },
-            [this](bool connected) {
-              this->context.metrics.agent_connected->Set(connected ? 1 : 0);
-              LogEvent("agent_link").With("connected", connected);
-            },
-            [this] { return this->MakeReport(); }}),
+      policy(std::move(policy)),
       random(seed) {
+  if (!settings.agent_address.empty()) {
+    this->link.emplace(io.get_executor(), settings.agent_address, seed,
+                       this->MakeLinkHooks());
+  }
+  this->context.close_while_leaving = this->policy.close_while_leaving;
   this->self.instance = InstanceId(settings.instance);
   this->self.caller_address = AdvertisedAddress(settings);
   this->self.failure_domain = FailureDomain(settings.failure_domain);
   this->self.region = settings.region;
   this->self.alive = true;
   this->context.claim_key = [this](schema::KeyClaimT claim, KeyClaimDone done) {
-    this->link.ClaimKey(std::move(claim), std::move(done));
+    if (this->link) {
+      this->link->ClaimKey(std::move(claim), std::move(done));
+    } else {
+      done({});
+    }
   };
 }
 
+EntryLinkHooks EntryServer::State::MakeLinkHooks() {
+  return {[this](std::unique_ptr<schema::ConfigurationUpdateT> update) {
+            this->OnConfiguration(*update);
+          },
+          [this](std::unique_ptr<schema::FleetUpdateT> update) {
+            this->OnFleet(std::move(update));
+          },
+          [this](bool connected) {
+            this->context.metrics.agent_connected->Set(connected ? 1 : 0);
+            LogEvent("agent_link").With("connected", connected);
+          },
+          [this] { return this->MakeReport(); }};
+}
+
+void EntryServer::State::ReportSoon() {
+  if (this->link) {
+    this->link->ReportSoon();
+  }
+}
+
 // Called with `mutex` held, from Rebuild.
 std::unique_ptr<Dispatcher> EntryServer::State::MakeDispatcher(
     const ServiceName& service,
@@ -135,29 +162,44 @@
   return std::make_unique<Dispatcher>(
       service, this->self.instance,
       std::make_unique<SeededRandom>(this->random.Next()), view,
-      this->clock.Now());
+      this->clock.Now(), this->policy.make_chooser);
 }
 
 void EntryServer::State::OnConfiguration(
     const schema::ConfigurationUpdateT& update) {
-  const std::lock_guard lock(this->mutex);
   const Generation generation(update.generation);
-  if (!update.file_set ||
-      (this->configuration && generation < this->configuration->generation)) {
+  if (!update.file_set) {
     LogEvent("configuration_refused", LogSeverity::kWarning)
-        .With("generation", generation);
+        .With("generation", generation)
+        .With("reason", "empty");
     return;
   }
-  if (this->configuration && generation == this->configuration->generation) {
+  this->PutInForce(std::make_shared<const Configuration>(
+      BuildConfiguration(*update.file_set, generation)));
+}
+
+void EntryServer::State::PutInForce(std::shared_ptr<const Configuration> next) {
+  const std::lock_guard lock(this->mutex);
+  const Generation generation = next->generation;
+  const Generation current = this->configuration
+                                 ? this->configuration->generation
+                                 : Generation();
+  if (generation < current) {
+    LogEvent("configuration_refused", LogSeverity::kWarning)
+        .With("generation", generation)
+        .With("in_force", current)
+        .With("reason", "older");
     return;
   }
-  this->configuration = std::make_shared<const Configuration>(
-      BuildConfiguration(*update.file_set, generation));
+  if (this->configuration && generation == current) {
+    return;
+  }
+  this->configuration = std::move(next);
   this->Rebuild();
   this->context.metrics.generation->Set(
       static_cast<double>(generation.Value()));
   LogEvent("configuration_applied").With("generation", generation);
-  this->link.ReportSoon();
+  this->ReportSoon();
 }
 
 void EntryServer::State::LapseEjections() {
@@ -287,18 +329,27 @@
 
 net::awaitable<void> EntryServer::State::Stop() {
   LogEvent("stopping").With("in_flight", this->context.active_requests.load());
+  const TimePoint began = this->clock.Now();
+  if (this->on_stop) {
+    this->on_stop();
+  }
   this->context.phase = EntryPhase::kLeaving;
   {
     const std::lock_guard lock(this->mutex);
     this->Rebuild();
   }
-  this->link.ReportSoon();
+  this->ReportSoon();
   const std::chrono::milliseconds lifetime(
       this->context.settings.answer_lifetime_ms);
   co_await this->Pause(lifetime);
   this->context.phase = EntryPhase::kDraining;
   this->callers.StopAccepting();
-  for (int round = 0; this->context.connections.load() > 0; ++round) {
+  const auto out_of_time = [&] {
+    return this->policy.longest_stop > Duration{} &&
+           this->clock.Now() - began >= this->policy.longest_stop;
+  };
+  for (int round = 0;
+       this->context.connections.load() > 0 && !out_of_time(); ++round) {
     if (round >= kIdleRoundsBeforeClose) {
       this->callers.CloseIdle();
     }
@@ -306,7 +357,7 @@
   }
   this->stopped = true;
   LogEvent("stopped").With("instance", this->context.settings.instance);
-  this->link.ReportSoon();
+  this->ReportSoon();
   co_await this->Pause(kLastReportTime);
   this->Finish();
 }
@@ -318,8 +369,26 @@
 }
 
 EntryServer::EntryServer(const schema::EntrySettingsT& settings,
-                         const Clock& clock)
-    : state(std::make_unique<State>(settings, clock)) {}
+                         const Clock& clock,
+                         EntryPolicy policy)
+    : state(std::make_unique<State>(settings, clock, std::move(policy))) {}
+
+net::any_io_executor EntryServer::Executor() const {
+  return this->state->io.get_executor();
+}
+
+void EntryServer::ApplyConfiguration(
+    std::shared_ptr<const Configuration> configuration) {
+  this->state->PutInForce(std::move(configuration));
+}
+
+void EntryServer::ApplyFleet(std::unique_ptr<schema::FleetUpdateT> fleet) {
+  this->state->OnFleet(std::move(fleet));
+}
+
+void EntryServer::OnStop(std::function<void()> hook) {
+  this->state->on_stop = std::move(hook);
+}
 
 EntryServer::~EntryServer() {
   State& state = *this->state;
@@ -329,7 +398,9 @@
   }
   // Sessions use the tables here: let them end before the tables do.
   state.io.restart();
-  state.link.Stop();
+  if (state.link) {
+    state.link->Stop();
+  }
   state.callers.StopAccepting();
   do {
     state.callers.CloseAll();
@@ -351,7 +422,9 @@
     const std::lock_guard lock(state.mutex);
     state.Rebuild();
   }
-  state.link.Start();
+  if (state.link) {
+    state.link->Start();
+  }
   net::co_spawn(state.strand, state.Housekeep(), net::detached);
   const std::uint32_t count = std::max(settings.worker_threads, 1U);
   for (std::uint32_t i = 0; i < count; ++i) {
--- a/src/entry_snapshot.cc
+++ b/src/entry_snapshot.cc
@@ -38,11 +38,12 @@
 
 void AddDiscovered(const schema::ServiceFleetStateT& state, ServiceView& view) {
   for (const auto& from : state.discovered) {
-    const BackendId id(from->address);
+    const BackendId id(from->id.empty() ? from->address : from->id);
     const std::uint32_t slots =
         from->slots != 0 ? from->slots : view.policy.slots_per_backend_server;
     view.backend_servers.push_back(
-        {id, FailureDomain(from->failure_domain), slots});
+        {id, FailureDomain(from->failure_domain), slots, from->address,
+         from->expected_instance});
     if (from->cold) {
       view.cold.insert(id);
     }
@@ -86,6 +87,12 @@
   return view;
 }
 
+// Entries that share a bound of the whole fleet.
+double FleetSize(const schema::FleetUpdateT* fleet, std::size_t members) {
+  const std::size_t told = fleet == nullptr ? 0 : fleet->fleet_size;
+  return static_cast<double>(std::max<std::size_t>(told, members));
+}
+
 std::uint32_t SlotsOf(const ServiceView& view) {
   std::uint32_t slots = 0;
   for (const BackendServer& backend : view.backend_servers) {
@@ -111,6 +118,10 @@
         BuildView(configuration, service, FindState(fleet, name));
     std::vector<EntryMember> subset =
         ChooseSubset(name, SlotsOf(view), snapshot.members);
+    if (view.policy.retry_window) {
+      view.policy.retry_window->extra /=
+          FleetSize(fleet, snapshot.members.size());
+    }
     for (const EntryMember& member : subset) {
       view.entries.push_back(member.instance);
     }
--- /dev/null
+++ b/src/host_control.cc
@@ -0,0 +1,413 @@
+#include "src/host_control.h"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <boost/asio.hpp>
+#include <utility>
+
+#include "src/log_event.h"
+#include "src/member_directory.h"
+#include "src/operator_server.h"
+#include "src/random_source.h"
+#include "src/table_follower.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+constexpr Duration kUnboundedProgress = std::chrono::hours(1);
+// Pause before a row that could not be written is written again.
+constexpr std::chrono::milliseconds kRowRetry{500};
+// Entries that are assumed for the shares of fleet-wide bounds before the
+// members' table has been read.
+constexpr std::uint32_t kAssumedMembers = 64;
+
+std::string SerializeMember(const schema::MemberUpdateT& member) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(schema::MemberUpdate::Pack(builder, &member));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
+std::optional<schema::MemberUpdateT> ParseMember(const std::string& bytes) {
+  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(data, bytes.size());
+  if (!verifier.VerifyBuffer<schema::MemberUpdate>(nullptr)) {
+    return std::nullopt;
+  }
+  schema::MemberUpdateT member;
+  flatbuffers::GetRoot<schema::MemberUpdate>(data)->UnPackTo(&member);
+  return member;
+}
+
+}  // namespace
+
+struct HostControl::State : std::enable_shared_from_this<State> {
+  State(const schema::EntrySettingsT& settings,
+        HostAdapter adapter,
+        EntryServer& entry,
+        const Clock& clock);
+
+  tl::expected<void, std::string> Start();
+  ServicePolicy MakePolicy() const;
+  std::unique_ptr<TableFollower> Follow(const std::string& table,
+                                        TableEvents events);
+  void OnConfigurationRow(const TableRow& row);
+  void OnRegistrations(const TableRows& rows, bool whole);
+  void OnMembers(const TableRows& rows, bool whole);
+  std::optional<RegisteredBackend> ReadRegistration(const TableRow& row);
+  void UpdateFleet();
+  void ArmTimer();
+  net::awaitable<void> Register();
+  net::awaitable<void> Unregister();
+  void OnStop();
+  HttpReply AnswerLookup(const TargetParts& target) const;
+  bool IsReady() const;
+
+  const schema::EntrySettingsT settings;
+  const schema::HostPlatformSettingsT& host;
+  HostAdapter adapter;
+  EntryServer& entry;
+  const Clock& clock;
+  // Runs everything here.
+  net::strand<net::any_io_executor> strand;
+  net::steady_timer timer;
+  SeededRandom random;
+  BackendRegistry registry;
+  MemberDirectory directory;
+  schema::MemberUpdateT self;
+  bool registry_read = false;
+  bool members_read = false;
+  bool stopping = false;
+  std::uint64_t sequence = 0;
+  Generation generation;
+  std::unique_ptr<RowStore> own_rows;
+  // Version of this entry's own row.
+  RowVersion own_row;
+  std::vector<std::unique_ptr<TableFollower>> followers;
+  OperatorServer lookups;
+  OperatorServer readiness;
+};
+
+namespace {
+
+schema::MemberUpdateT DescribeSelf(const schema::EntrySettingsT& settings,
+                                   const Clock& clock) {
+  schema::MemberUpdateT self;
+  self.instance = settings.instance;
+  self.incarnation = static_cast<std::uint64_t>(clock.Unix().count());
+  self.started = self.incarnation;
+  self.state = schema::MemberState::Alive;
+  self.peer_address = settings.host_platform->peer_listen;
+  self.caller_address = settings.caller_advertise.empty()
+                            ? settings.caller_listen
+                            : settings.caller_advertise;
+  self.failure_domain = settings.failure_domain;
+  self.region = settings.region;
+  return self;
+}
+
+}  // namespace
+
+HostControl::State::State(const schema::EntrySettingsT& settings,
+                          HostAdapter adapter,
+                          EntryServer& entry,
+                          const Clock& clock)
+    : settings(settings),
+      host(*this->settings.host_platform),
+      adapter(std::move(adapter)),
+      entry(entry),
+      clock(clock),
+      strand(net::make_strand(entry.Executor())),
+      timer(strand),
+      random(settings.seed != 0 ? settings.seed : DrawSeed()),
+      directory(DescribeSelf(settings, clock)),
+      self(DescribeSelf(settings, clock)),
+      own_rows(this->adapter.make_store()),
+      lookups(strand,
+              "",
+              {{this->adapter.lookup_path,
+                [this](const TargetParts& target) {
+                  return this->AnswerLookup(target);
+                }}}),
+      readiness(strand,
+                "",
+                {{this->adapter.ready_path, [this](const TargetParts&) {
+                    return ReadyReply(this->IsReady());
+                  }}}) {}
+
+bool HostControl::State::IsReady() const {
+  return this->registry_read && this->generation > Generation() &&
+         !this->stopping;
+}
+
+HttpReply HostControl::State::AnswerLookup(const TargetParts& target) const {
+  const FailureDomain domain(
+      target.Parameter(this->adapter.lookup_zone_parameter));
+  const auto lifetime = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(this->host.lookup_lifetime_s));
+  HttpReply reply;
+  reply.headers["content-type"] = "application/json";
+  reply.body = this->adapter.write_lookup(this->directory.AddressesFor(domain),
+                                          lifetime);
+  return reply;
+}
+
+ServicePolicy HostControl::State::MakePolicy() const {
+  constexpr double kPercent = 100;
+  ServicePolicy policy;
+  policy.floor_percent =
+      static_cast<std::uint32_t>(this->host.floor_share * kPercent);
+  policy.progress_timeout = kUnboundedProgress;
+  RetryWindow window;
+  window.ratio = this->host.retry_budget_ratio;
+  window.extra = this->host.retry_budget_extra;
+  window.window = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(this->host.retry_budget_window_s));
+  policy.retry_window = window;
+  return policy;
+}
+
+std::unique_ptr<TableFollower> HostControl::State::Follow(
+    const std::string& table,
+    TableEvents events) {
+  return std::make_unique<TableFollower>(this->strand, table,
+                                         this->adapter.make_store(),
+                                         std::move(events), this->random);
+}
+
+tl::expected<void, std::string> HostControl::State::Start() {
+  for (const auto& [server, address] :
+       {std::pair(&this->lookups, &this->host.lookup_listen),
+        std::pair(&this->readiness, &this->host.ready_listen)}) {
+    if (auto listening = server->Listen(*address); !listening) {
+      return listening;
+    }
+  }
+  const auto each_configuration = [this](const TableRows& rows) {
+    for (const TableRow& row : rows.rows) {
+      this->OnConfigurationRow(row);
+    }
+  };
+  this->followers.push_back(this->Follow(
+      this->adapter.configuration_table,
+      {each_configuration, each_configuration, [](bool) {}}));
+  this->followers.push_back(this->Follow(
+      this->adapter.registrations_table,
+      {[this](const TableRows& rows) { this->OnRegistrations(rows, true); },
+       [this](const TableRows& rows) { this->OnRegistrations(rows, false); },
+       [this](bool available) {
+         this->registry.OnStoreAvailable(available, this->clock.Now());
+         this->ArmTimer();
+       }}));
+  this->followers.push_back(this->Follow(
+      this->adapter.members_table,
+      {[this](const TableRows& rows) { this->OnMembers(rows, true); },
+       [this](const TableRows& rows) { this->OnMembers(rows, false); },
+       [](bool) {}}));
+  for (const auto& follower : this->followers) {
+    follower->Start();
+  }
+  net::co_spawn(
+      this->strand,
+      [](std::shared_ptr<State> state) -> net::awaitable<void> {
+        co_await state->Register();
+      }(this->shared_from_this()),
+      net::detached);
+  return {};
+}
+
+void HostControl::State::OnConfigurationRow(const TableRow& row) {
+  if (row.key != this->adapter.configuration_key || row.removed) {
+    return;
+  }
+  auto configuration =
+      this->adapter.read_configuration(row.value, this->MakePolicy());
+  if (!configuration) {
+    LogEvent("configuration_unreadable", LogSeverity::kError)
+        .With("row_version", row.version)
+        .With("kept_generation", this->generation)
+        .With("reason", configuration.error());
+    return;
+  }
+  if (configuration->generation <= this->generation) {
+    return;
+  }
+  this->generation = configuration->generation;
+  this->entry.ApplyConfiguration(
+      std::make_shared<const Configuration>(std::move(*configuration)));
+}
+
+std::optional<RegisteredBackend> HostControl::State::ReadRegistration(
+    const TableRow& row) {
+  auto backend = this->adapter.read_registration(row.key, row.value);
+  if (!backend) {
+    LogEvent("registration_unreadable", LogSeverity::kWarning)
+        .With("name", row.key)
+        .With("row_version", row.version)
+        .With("reason", backend.error());
+    return std::nullopt;
+  }
+  return std::move(*backend);
+}
+
+void HostControl::State::OnRegistrations(const TableRows& rows, bool whole) {
+  const TimePoint now = this->clock.Now();
+  if (whole) {
+    Registrations registrations;
+    for (const TableRow& row : rows.rows) {
+      registrations[row.key] = this->ReadRegistration(row);
+    }
+    this->registry.Replace(registrations, now);
+  } else {
+    for (const TableRow& row : rows.rows) {
+      if (row.removed) {
+        this->registry.Remove(row.key, now);
+      } else {
+        this->registry.Put(row.key, this->ReadRegistration(row), now);
+      }
+    }
+  }
+  this->registry_read = true;
+  this->UpdateFleet();
+}
+
+void HostControl::State::OnMembers(const TableRows& rows, bool whole) {
+  if (whole) {
+    this->directory.Clear();
+  }
+  for (const TableRow& row : rows.rows) {
+    if (row.removed) {
+      this->directory.Remove(InstanceId(row.key));
+      continue;
+    }
+    if (const auto member = ParseMember(row.value)) {
+      this->directory.Put(*member);
+    }
+  }
+  this->members_read = true;
+  this->UpdateFleet();
+}
+
+// Hands the entry a whole new state of the fleet.
+void HostControl::State::UpdateFleet() {
+  const TimePoint now = this->clock.Now();
+  this->registry.OnTimer(now);
+  auto fleet = std::make_unique<schema::FleetUpdateT>();
+  fleet->sequence = ++this->sequence;
+  fleet->fleet_size = this->members_read
+                          ? static_cast<std::uint32_t>(
+                                this->directory.Members().size())
+                          : kAssumedMembers;
+  for (const auto& [instance, member] : this->directory.Members()) {
+    auto copy = std::make_unique<schema::FleetMemberT>();
+    copy->instance = member.instance;
+    copy->caller_address = member.caller_address;
+    copy->failure_domain = member.failure_domain;
+    copy->region = member.region;
+    copy->state = member.state;
+    fleet->members.push_back(std::move(copy));
+  }
+  std::map<ServiceName, std::unique_ptr<schema::ServiceFleetStateT>> services;
+  for (const auto& [name, held] : this->registry.Backends()) {
+    auto& service = services[held.backend.service];
+    if (!service) {
+      service = std::make_unique<schema::ServiceFleetStateT>();
+      service->service = held.backend.service.Value();
+    }
+    auto backend = std::make_unique<schema::DiscoveredBackendServerT>();
+    backend->id = held.backend.id.Value();
+    backend->address = held.backend.server.address;
+    backend->expected_instance = held.backend.server.expected_instance;
+    backend->failure_domain = held.backend.server.failure_domain.Value();
+    backend->slots = held.backend.server.slots;
+    backend->cold = held.cold_until > now;
+    if (held.backend.leaving) {
+      service->leaving.push_back(backend->id);
+    }
+    service->discovered.push_back(std::move(backend));
+  }
+  for (auto& [name, service] : services) {
+    fleet->services.push_back(std::move(service));
+  }
+  this->entry.ApplyFleet(std::move(fleet));
+  this->ArmTimer();
+}
+
+void HostControl::State::ArmTimer() {
+  const auto next = this->registry.NextTimer();
+  if (!next) {
+    this->timer.cancel();
+    return;
+  }
+  this->timer.expires_at(*next);
+  this->timer.async_wait([weak = this->weak_from_this()](
+                             const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (self && !error) {
+      self->UpdateFleet();
+    }
+  });
+}
+
+net::awaitable<void> HostControl::State::Register() {
+  while (!this->stopping) {
+    const auto written = co_await this->own_rows->Put(
+        this->adapter.members_table, this->self.instance,
+        SerializeMember(this->self));
+    if (written) {
+      LogEvent("registered").With("row_version", *written);
+      this->own_row = *written;
+      co_return;
+    }
+    LogEvent("registration_failed", LogSeverity::kWarning)
+        .With("reason", RowStoreErrorName(written.error()));
+    net::steady_timer pause(this->strand, kRowRetry);
+    co_await pause.async_wait(kAwait);
+  }
+}
+
+net::awaitable<void> HostControl::State::Unregister() {
+  const auto removed = co_await this->own_rows->Remove(
+      this->adapter.members_table, this->self.instance, this->own_row);
+  if (!removed) {
+    LogEvent("unregistration_failed", LogSeverity::kWarning)
+        .With("reason", RowStoreErrorName(removed.error()));
+  }
+}
+
+void HostControl::State::OnStop() {
+  this->stopping = true;
+  this->directory.Leave();
+  net::co_spawn(
+      this->strand,
+      [](std::shared_ptr<State> state) -> net::awaitable<void> {
+        co_await state->Unregister();
+      }(this->shared_from_this()),
+      net::detached);
+}
+
+HostControl::HostControl(const schema::EntrySettingsT& settings,
+                         HostAdapter adapter,
+                         EntryServer& entry,
+                         const Clock& clock)
+    : state(std::make_shared<State>(settings,
+                                    std::move(adapter),
+                                    entry,
+                                    clock)) {
+  entry.OnStop([weak = std::weak_ptr<State>(this->state)] {
+    if (const auto self = weak.lock()) {
+      net::post(self->strand, [self] { self->OnStop(); });
+    }
+  });
+}
+
+HostControl::~HostControl() = default;
+
+tl::expected<void, std::string> HostControl::Start() {
+  return this->state->Start();
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/host_control.h
@@ -0,0 +1,69 @@
+// Keeps an entry up to date on a platform that holds the configuration, the
+// registry of backend servers and the entries' own rows in one store: follows
+// the three tables, tells the entry what is in force, registers this entry, and
+// answers lookups and readiness checks. It needs no agent.
+#ifndef SRC_HOST_CONTROL_H_
+#define SRC_HOST_CONTROL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "src/backend_registry.h"
+#include "src/clock.h"
+#include "src/configuration.h"
+#include "src/dialect.h"
+#include "src/entry_server.h"
+#include "src/generated/settings_generated.h"
+#include "src/row_store.h"
+
+namespace acacia {
+
+// What differs from platform to platform: names, formats and calls.
+struct HostAdapter {
+  Dialect dialect;
+  RowStoreFactory make_store;
+  std::string configuration_table;
+  std::string configuration_key;
+  std::string registrations_table;
+  // Rows of the entries themselves.
+  std::string members_table;
+  std::function<tl::expected<Configuration, std::string>(
+      const std::string& text,
+      const ServicePolicy& policy)>
+      read_configuration;
+  std::function<tl::expected<RegisteredBackend, std::string>(
+      const std::string& name,
+      const std::string& text)>
+      read_registration;
+  std::string lookup_path;
+  std::string ready_path;
+  // The lookup parameter that names the caller's failure domain.
+  std::string lookup_zone_parameter;
+  std::function<std::string(const std::vector<std::string>& addresses,
+                            Duration lifetime)>
+      write_lookup;
+};
+
+class HostControl {
+ public:
+  // The entry and the clock must outlive this object.
+  HostControl(const schema::EntrySettingsT& settings,
+              HostAdapter adapter,
+              EntryServer& entry,
+              const Clock& clock);
+  ~HostControl();
+
+  // Opens the listeners and begins to follow the store.
+  tl::expected<void, std::string> Start();
+
+ private:
+  struct State;
+  std::shared_ptr<State> state;
+};
+
+}  // namespace acacia
+
+#endif  // SRC_HOST_CONTROL_H_
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/backend_connection.h"
 #include "src/lower_case.h"
 #include "src/socket_address.h"
 
@@ -17,6 +18,10 @@
 using Tcp = net::ip::tcp;
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+// A connection that has gone silent is found within seconds, also while a long
+// poll waits on it.
+constexpr Duration kUserTimeout = std::chrono::seconds(3);
+constexpr KeepAlive kShortProbes{1, 1, 2};
 constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 
 http::request<http::string_body> ToBeast(HttpRequest& request,
@@ -66,6 +71,8 @@
   const auto [error] = co_await this->stream->async_connect(endpoint, kAwait);
   if (error) {
     this->stream.reset();
+  } else {
+    SetStreamOptions(this->stream->socket(), kUserTimeout, kShortProbes);
   }
   co_return !error;
 }
--- a/src/json_schema.cc
+++ b/src/json_schema.cc
@@ -136,6 +136,9 @@
     } else if (type == reflection::Bool) {
       this->Expect(value.is_bool(), value, false, at, "expected true or false",
                    "");
+    } else if (type == reflection::Double) {
+      this->Expect(value.is_number(), value, 0, at, "expected a number",
+                   "without quotes");
     } else if (IsInteger(type) && enum_index >= 0) {
       this->CheckEnum(value, *this->schema.enums()->Get(enum_index), at);
     } else if (IsInteger(type)) {
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -21,26 +21,40 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr int kContinueStatus = 100;
 constexpr int kSwitchingStatus = 101;
-constexpr int kRefusedStatus = 503;
+constexpr int kFirstRedirect = 300;
+// Answers to other requests that are read and thrown away before the one that
+// is awaited.
+constexpr int kMostSkipped = 2;
 
-std::optional<std::uint32_t> ParseLoad(std::string_view text) {
-  std::uint32_t load = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, load);
-  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
+// Seconds in "timeout=N" of a Keep-Alive header; zero without one.
+Duration IdleLimit(std::string_view keep_alive) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = keep_alive.find(kTimeout);
+  std::uint32_t seconds = 0;
+  if (at != std::string_view::npos) {
+    const std::string_view text = keep_alive.substr(at + kTimeout.size());
+    std::from_chars(text.data(), text.data() + text.size(), seconds);
   }
-  return load;
+  return std::chrono::seconds(seconds);
 }
 
 }  // namespace
 
 net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ReadAnswerHead() {
-  for (;;) {
+  for (int skipped = 0;;) {
     if (const auto failed = co_await this->ParseAnswerHead()) {
       co_return failed;
     }
     const int status = static_cast<int>(this->parser->get().result_int());
+    if (status >= kFirstFinalStatus && this->IsForeign()) {
+      const bool next =
+          skipped < kMostSkipped && (co_await this->SkipAnswer());
+      if (!next) {
+        co_return this->Failed(AttemptResult::kMismatched);
+      }
+      ++skipped;
+      continue;
+    }
     if (status >= kFirstFinalStatus) {
       break;
     }
@@ -57,16 +71,75 @@
   }
   this->head_arrived = true;
   const auto& head = this->parser->get();
-  const auto echo = head[kRequestIdHeader];
-  if (!echo.empty() && echo != this->request_id) {
-    co_return AttemptResult::kMismatched;
-  }
   this->NoteAnswerHeaders();
-  if (static_cast<int>(head.result_int()) == kRefusedStatus &&
-      head[kOutcomeHeader] == OutcomeName(Outcome::kNotRun)) {
+  const Dialect& dialect = this->context.dialect;
+  if (dialect.says_not_run(head)) {
     this->DrainSmallAnswer();
     co_return AttemptResult::kRefused;
   }
+  const int status = static_cast<int>(head.result_int());
+  const bool success = status < kFirstRedirect;
+  if (success && !dialect.answer_proof.empty() &&
+      head[dialect.answer_proof].empty()) {
+    co_return AttemptResult::kMismatched;
+  }
+  co_return std::nullopt;
+}
+
+// True when the answer names another request. Where backend servers echo the
+// caller's own id, one that names none is foreign too.
+bool ProxyAttempt::IsForeign() const {
+  const auto echo = this->parser->get()[this->context.dialect.request_id];
+  if (echo.empty()) {
+    return this->context.dialect.passes_request_id && !this->request_id.empty();
+  }
+  return echo != this->request_id;
+}
+
+// Reads an answer to another request to its end. False when it has no end of
+// its own or breaks off. Without ids of the callers the order of the answers
+// cannot be trusted, and nothing is skipped.
+net::awaitable<bool> ProxyAttempt::SkipAnswer() {
+  if (!this->context.dialect.passes_request_id || this->parser->need_eof()) {
+    co_return false;
+  }
+  std::vector<char> space(kRelayBytes);
+  while (!this->parser->is_done()) {
+    const BodyPiece piece = co_await ReadBodyPiece<false>(
+        this->connection->socket, this->connection->buffer, *this->parser,
+        net::buffer(space));
+    if (piece.error) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+// Reads a small answer to its end, so that one that breaks off can still be
+// tried elsewhere. Larger ones are relayed as they come.
+net::awaitable<std::optional<AttemptResult>> ProxyAttempt::BufferAnswer() {
+  const std::size_t most = this->context.settings.buffered_answer_bytes;
+  const auto length = this->parser->content_length();
+  if (most == 0 || this->exchange.is_head_request ||
+      (length && *length > most)) {
+    co_return std::nullopt;
+  }
+  std::string body;
+  std::vector<char> space(kRelayBytes);
+  while (!this->parser->is_done()) {
+    const BodyPiece piece = co_await ReadBodyPiece<false>(
+        this->connection->socket, this->connection->buffer, *this->parser,
+        net::buffer(space));
+    if (piece.error) {
+      co_return this->Failed(AttemptResult::kTruncated);
+    }
+    body.append(space.data(), piece.bytes);
+    if (body.size() > most) {
+      break;
+    }
+    this->Progress();
+  }
+  this->buffered_body = std::move(body);
   co_return std::nullopt;
 }
 
@@ -107,8 +180,11 @@
 
 void ProxyAttempt::NoteAnswerHeaders() {
   const auto& head = this->parser->get();
-  this->leaving = head[kLeavingHeader] == "true";
-  this->load = ParseLoad(head[kLoadHeader]);
+  const Dialect& dialect = this->context.dialect;
+  this->leaving = dialect.says_leaving(head);
+  this->load = dialect.parse_load(head[dialect.load]);
+  this->connection->idle_limit =
+      IdleLimit(std::string_view(head[http::field::keep_alive]));
 }
 
 // A refusal's body that has arrived with its head is read, so that the
@@ -126,16 +202,16 @@
   http::response<http::buffer_body> answer(this->parser->get().base());
   const bool chunked = this->parser->chunked();
   StripHopByHop(answer);
-  for (const char* name : {kRequestIdHeader, kErrorHeader, kOutcomeHeader,
-                           kLeavingHeader, kLoadHeader}) {
+  for (const std::string& name : this->context.dialect.hidden_from_callers) {
     answer.erase(name);
   }
   answer.version(11);
   // Without a length the answer ends with the connection.
+  const bool whole = this->buffered_body && this->parser->is_done();
   this->ends_with_close =
-      !this->has_no_body && (this->parser->need_eof() ||
+      !this->has_no_body && !whole && (this->parser->need_eof() ||
                              (chunked && this->exchange.caller_is_http10));
-  if (chunked && !this->exchange.caller_is_http10) {
+  if (chunked && !whole && !this->exchange.caller_is_http10) {
     answer.set(http::field::transfer_encoding, "chunked");
   }
   const bool close = this->ends_with_close || !this->request_sent ||
@@ -157,6 +233,9 @@
       this->exchange.is_head_request || status == 204 || status == 304;
   this->begun_relay = true;
   auto answer = this->BuildAnswer();
+  if (!this->has_no_body && this->buffered_body && this->parser->is_done()) {
+    co_return co_await this->RelayBuffered(std::move(answer));
+  }
   if (!this->has_no_body) {
     co_return co_await this->RelayBody(std::move(answer));
   }
@@ -169,12 +248,33 @@
   co_return this->success;
 }
 
+net::awaitable<AttemptResult> ProxyAttempt::RelayBuffered(
+    http::response<http::buffer_body> answer) {
+  http::response<http::string_body> message(std::move(answer.base()));
+  message.body() = std::move(*this->buffered_body);
+  message.content_length(message.body().size());
+  this->EndAnswer();
+  this->AwaitCaller();
+  const auto [error, bytes] = co_await http::async_write(
+      this->owner.Caller().Socket(), message, kAwait);
+  this->owner.ExpectCaller(false);
+  this->FinishRelay(!error);
+  co_return this->success;
+}
+
 net::awaitable<AttemptResult> ProxyAttempt::RelayBody(
     http::response<http::buffer_body> answer) {
   http::response_serializer<http::buffer_body> serializer(answer);
   std::vector<char> space(kRelayBytes);
-  BodyPiece piece = ParseBufferedBody<false>(this->connection->buffer,
-                                             *this->parser, net::buffer(space));
+  BodyPiece piece;
+  if (this->buffered_body) {
+    // What was read before the answer turned out to be too large to hold.
+    piece.bytes = this->buffered_body->size();
+    space.assign(this->buffered_body->begin(), this->buffered_body->end());
+  } else {
+    piece = ParseBufferedBody<false>(this->connection->buffer, *this->parser,
+                                     net::buffer(space));
+  }
   for (;;) {
     if (piece.error && piece.error != http::error::need_more) {
       co_return this->Failed(AttemptResult::kTruncated);
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -17,6 +17,9 @@
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+// Unacknowledged bytes to a backend server end the connection after this time
+// at the latest.
+constexpr Duration kMostUserTimeout = std::chrono::seconds(5);
 constexpr int kUnwindTurns = 16;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -28,7 +31,7 @@
   if (this->body_bytes > this->max_body_bytes) {
     return false;
   }
-  if (this->streaming || this->body_bytes > kReplayableBodyBytes) {
+  if (this->streaming || this->body_bytes > this->replayable_bytes) {
     this->streaming = true;
   } else {
     this->prefix.append(piece);
@@ -49,6 +52,9 @@
                  std::to_string(start.attempt.Value())),
       trace(exchange.trace),
       began(context.clock.Now()) {
+  if (context.dialect.passes_request_id) {
+    this->request_id = exchange.caller_request_id;
+  }
   if (context.spans.IsOn()) {
     this->trace = context.NewChild(exchange.trace);
   }
@@ -80,6 +86,9 @@
   if (const auto failed = co_await this->ReadAnswerHead()) {
     co_return *failed;
   }
+  if (const auto failed = co_await this->BufferAnswer()) {
+    co_return *failed;
+  }
   const int status = static_cast<int>(this->parser->get().result_int());
   if (!this->owner.OnAnswerHead(*this, status)) {
     co_return status >= kFirstServerError ? AttemptResult::kServerError
@@ -174,7 +183,9 @@
 }
 
 net::awaitable<bool> ProxyAttempt::OpenConnection() {
-  const auto address = ParseSocketAddress(this->start.backend.Value());
+  const auto address = ParseSocketAddress(
+      this->start.address.empty() ? this->start.backend.Value()
+                                  : this->start.address);
   if (!address) {
     co_return false;
   }
@@ -189,8 +200,9 @@
   if (error || this->cancelled || this->timed_out) {
     co_return false;
   }
-  SetStreamOptions(this->connection->socket,
-                   this->exchange.policy.progress_timeout);
+  SetStreamOptions(
+      this->connection->socket,
+      std::min(this->exchange.policy.progress_timeout, kMostUserTimeout));
   co_return true;
 }
 
@@ -198,9 +210,15 @@
   http::request_header<> head = this->exchange.head;
   const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->exchange.deadline - this->context.clock.Now());
-  head.set(kRequestIdHeader, this->request_id);
-  head.set(kDeadlineHeader,
+  const Dialect& dialect = this->context.dialect;
+  if (!this->request_id.empty()) {
+    head.set(dialect.request_id, this->request_id);
+  }
+  head.set(dialect.deadline,
            std::to_string(std::max<std::int64_t>(left.count(), 1)));
+  if (!dialect.expected_instance.empty()) {
+    head.set(dialect.expected_instance, this->start.expected_instance);
+  }
   if (this->trace.span != 0) {
     head.set(kTraceHeader, FormatTraceparent(this->trace));
   }
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -41,6 +41,8 @@
   // Connections to each backend server that this entry may hold.
   std::uint32_t max_connections = 0;
   std::uint64_t max_body_bytes = 0;
+  // The caller's own id of the request; empty without one.
+  std::string caller_request_id;
   // The head for backend servers, without the headers that differ by attempt.
   boost::beast::http::request_header<> head;
   bool is_head_request = false;
@@ -69,6 +71,8 @@
   // Notes a piece of the body; false when the body is larger than the route
   // allows.
   bool Keep(std::string_view piece, bool is_last);
+  // Bodies up to this size can be sent again.
+  std::size_t replayable_bytes = kReplayableBodyBytes;
 };
 
 class ProxyAttempt;
@@ -122,7 +126,7 @@
   bool IsCancelled() const { return this->cancelled; }
   bool IsUploading() const { return this->uploading; }
   bool IsLeaving() const { return this->leaving; }
-  std::optional<std::uint32_t> ReportedLoad() const { return this->load; }
+  const std::optional<ReportedLoad>& LoadSeen() const { return this->load; }
   // The caller got the first bytes of an answer, and all of it.
   bool HasBegunRelay() const { return this->begun_relay; }
   bool IsRelayedWhole() const { return this->relayed_whole; }
@@ -150,6 +154,11 @@
   boost::asio::awaitable<std::optional<AttemptResult>> ParseAnswerHead();
   void DrainSmallAnswer();
   boost::asio::awaitable<bool> RelayInterim();
+  boost::asio::awaitable<bool> SkipAnswer();
+  bool IsForeign() const;
+  boost::asio::awaitable<std::optional<AttemptResult>> BufferAnswer();
+  boost::asio::awaitable<AttemptResult> RelayBuffered(
+      boost::beast::http::response<boost::beast::http::buffer_body> answer);
   void NoteAnswerHeaders();
   boost::asio::awaitable<AttemptResult> Relay();
   boost::beast::http::response<boost::beast::http::buffer_body> BuildAnswer();
@@ -189,7 +198,9 @@
   // How the attempt ends if nothing goes wrong any more.
   AttemptResult success = AttemptResult::kSuccess;
   bool leaving = false;
-  std::optional<std::uint32_t> load;
+  std::optional<ReportedLoad> load;
+  // The answer's body when it was read whole before relaying.
+  std::optional<std::string> buffered_body;
   BackendConnectionPtr connection;
   std::unique_ptr<Parser> parser;
 };
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -54,7 +54,9 @@
 }
 
 bool ProxySession::MustClose() const {
-  return this->context.phase.load() == EntryPhase::kDraining;
+  const EntryPhase phase = this->context.phase.load();
+  return phase == EntryPhase::kDraining ||
+         (phase == EntryPhase::kLeaving && this->context.close_while_leaving);
 }
 
 void ProxySession::ExpectCaller(bool expected) {
@@ -338,7 +340,7 @@
                              result,
                              this->exchange->IsReplayable(),
                              attempt.IsLeaving(),
-                             attempt.ReportedLoad()};
+                             attempt.LoadSeen()};
   this->service->Feed(
       [&](Dispatcher& dispatcher, TimePoint now) {
         return dispatcher.OnAttemptEnd(report, now);
--- a/src/proxy_session.cc
+++ b/src/proxy_session.cc
@@ -131,7 +131,7 @@
     this->caller.Distrust();
     co_return co_await this->Refuse(*error);
   }
-  const auto options = ReadCallerOptions(head);
+  const auto options = ReadCallerOptions(head, this->context.dialect.deadline);
   if (!options) {
     co_return co_await this->Refuse(options.error());
   }
@@ -181,9 +181,9 @@
     std::shared_ptr<const EntrySnapshot> snapshot,
     const Route& route,
     CallerOptions options) {
-  this->service_name = route.service;
-  this->metrics = &this->context.metrics.Of(route.service);
-  this->service = this->context.services.Find(route.service);
+  this->service_name = this->ChooseService(route);
+  this->metrics = &this->context.metrics.Of(this->service_name);
+  this->service = this->context.services.Find(this->service_name);
   if (!this->service) {
     co_return co_await this->Refuse(ErrorKind::kNotReady);
   }
@@ -209,6 +209,25 @@
   co_return co_await this->Dispatch();
 }
 
+// The route's service, or one of those that share its requests by weight.
+ServiceName ProxySession::ChooseService(const Route& route) {
+  if (route.split.empty()) {
+    return route.service;
+  }
+  double total = 0;
+  for (const WeightedService& part : route.split) {
+    total += part.weight;
+  }
+  double at = this->context.RandomFraction() * total;
+  for (const WeightedService& part : route.split) {
+    at -= part.weight;
+    if (at < 0) {
+      return part.service;
+    }
+  }
+  return route.split.back().service;
+}
+
 void ProxySession::PrepareExchange(const EntrySnapshot& snapshot,
                                    const Route& route,
                                    const CallerOptions& options) {
@@ -220,9 +239,12 @@
   prepared.work.request = prepared.id;
   prepared.work.work_class = route.work_class;
   prepared.work.account = options.account;
+  prepared.work.max_attempts = route.max_attempts;
+  prepared.work.latency_key = route.name;
+  prepared.replayable_bytes = this->context.settings.replayable_body_bytes;
   prepared.work.idempotent = IsIdempotent(route, head.method_string(), options);
   prepared.deadline = this->began + allowed;
-  prepared.policy = snapshot.views.at(route.service).policy;
+  prepared.policy = snapshot.views.at(this->service_name).policy;
   prepared.max_connections = ConnectionShare(snapshot, prepared.policy);
   prepared.max_body_bytes = route.max_body_bytes;
   prepared.is_head_request = head.method() == http::verb::head;
@@ -243,7 +265,9 @@
   http::request_header<>& head = prepared.head;
   StripHopByHop(head);
   head.erase(http::field::expect);
-  head.erase(kRequestIdHeader);
+  const std::string& id_header = this->context.dialect.request_id;
+  prepared.caller_request_id = std::string(head[id_header]);
+  head.erase(id_header);
   head.version(11);
   head.insert(http::field::via, "1.1 " + this->context.settings.instance);
   if (prepared.is_chunked) {
@@ -264,9 +288,10 @@
 net::awaitable<std::optional<ErrorKind>> ProxySession::BufferBody() {
   Exchange& request = *this->exchange;
   std::vector<char> space;
-  while (!request.body_read && request.prefix.size() < kReplayableBodyBytes) {
+  while (!request.body_read && request.prefix.size() < request.replayable_bytes) {
     space.resize(
-        std::min(kDiscardBytes, kReplayableBodyBytes - request.prefix.size()));
+        std::min(kDiscardBytes,
+                          request.replayable_bytes - request.prefix.size()));
     this->ExpectCaller(true);
     const auto read = co_await this->caller.ReadBody(net::buffer(space));
     this->ExpectCaller(false);
--- a/src/proxy_session.h
+++ b/src/proxy_session.h
@@ -64,6 +64,7 @@
       std::shared_ptr<const EntrySnapshot> snapshot,
       const Route& route,
       CallerOptions options);
+  ServiceName ChooseService(const Route& route);
   void PrepareExchange(const EntrySnapshot& snapshot,
                        const Route& route,
                        const CallerOptions& options);
--- /dev/null
+++ b/src/reported_load.h
@@ -0,0 +1,20 @@
+// A backend server's own report of its load. It lags behind, and may mislead.
+#ifndef SRC_REPORTED_LOAD_H_
+#define SRC_REPORTED_LOAD_H_
+
+#include <cstdint>
+
+namespace acacia {
+
+struct ReportedLoad {
+  // Requests that hold a slot.
+  std::uint32_t running = 0;
+  // Requests that wait for a slot.
+  std::uint32_t waiting = 0;
+  // 0: not told.
+  std::uint32_t slots = 0;
+};
+
+}  // namespace acacia
+
+#endif  // SRC_REPORTED_LOAD_H_
--- a/src/request_state.h
+++ b/src/request_state.h
@@ -32,6 +32,8 @@
   // attempt of which that is not known to be false.
   std::optional<ErrorKind> uncertain;
   std::uint32_t uncertain_attempts = 0;
+  // Ended attempts of which a byte was sent.
+  std::uint32_t sends = 0;
   // Backend servers that failed this request.
   std::vector<BackendId> failed;
 
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -61,6 +61,34 @@
     return *this;
   }
 
+  SettingsChecker& Positive(const std::string& field, double value) {
+    if (!(value > 0)) {
+      this->Report(field, std::to_string(value) + " is out of range",
+                   "write a number above 0");
+    }
+    return *this;
+  }
+
+  SettingsChecker& Share(const std::string& field, double value) {
+    if (!(value >= 0 && value <= 1)) {
+      this->Report(field, std::to_string(value) + " is out of range",
+                   "write a share from 0 to 1");
+    }
+    return *this;
+  }
+
+  // Exactly one of the two must be given.
+  SettingsChecker& OneOf(const std::string& field,
+                         bool has_field,
+                         const std::string& other,
+                         bool has_other) {
+    if (has_field == has_other) {
+      this->Report(field, has_field ? "excludes " + other : "is missing",
+                   "give either " + field + " or " + other);
+    }
+    return *this;
+  }
+
   SettingsChecker& AtLeast(const std::string& field,
                            std::uint64_t value,
                            std::uint64_t min) {
@@ -81,6 +109,20 @@
   std::vector<Mistake> mistakes;
 };
 
+void CheckHostPlatform(const schema::HostPlatformSettingsT& settings,
+                       SettingsChecker* check) {
+  check->Address("host_platform.store_address", settings.store_address)
+      .Address("host_platform.lookup_listen", settings.lookup_listen)
+      .Address("host_platform.ready_listen", settings.ready_listen)
+      .Address("host_platform.peer_listen", settings.peer_listen)
+      .Positive("host_platform.grace_s", settings.grace_s)
+      .Share("host_platform.retry_budget_ratio", settings.retry_budget_ratio)
+      .Positive("host_platform.retry_budget_window_s",
+                settings.retry_budget_window_s)
+      .Share("host_platform.floor_share", settings.floor_share)
+      .Positive("host_platform.lookup_lifetime_s", settings.lookup_lifetime_s);
+}
+
 // Reads a table and checks its values with `check`; lists the mistakes of both.
 template <typename Table, typename Check>
 tl::expected<typename Table::NativeTableType, UserErrors> ReadChecked(
@@ -122,7 +164,8 @@
             .Address("caller_listen", settings.caller_listen)
             .OptionalAddress("caller_advertise", settings.caller_advertise)
             .Address("operator_listen", settings.operator_listen)
-            .LoopbackAddress("agent_address", settings.agent_address)
+            .OneOf("agent_address", !settings.agent_address.empty(),
+                   "host_platform", settings.host_platform != nullptr)
             .AtLeast("worker_threads", settings.worker_threads, 1)
             .AtLeast("answer_lifetime_ms", settings.answer_lifetime_ms, 1)
             .AtLeast("max_header_bytes", settings.max_header_bytes, 1024)
@@ -130,6 +173,12 @@
                      1)
             .AtLeast("idle_caller_timeout_ms", settings.idle_caller_timeout_ms,
                      1);
+        if (!settings.agent_address.empty()) {
+          check->LoopbackAddress("agent_address", settings.agent_address);
+        }
+        if (settings.host_platform) {
+          CheckHostPlatform(*settings.host_platform, check);
+        }
       });
 }
 
--- /dev/null
+++ b/src/table_follower.cc
@@ -0,0 +1,182 @@
+#include "src/table_follower.h"
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <optional>
+#include <utility>
+
+#include "src/log_event.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+
+constexpr auto kAwait = net::as_tuple(net::use_awaitable);
+// The store ends a wait without changes after this time. Long, because each
+// call costs; a connection that has gone silent is found by keep-alive probes.
+constexpr Duration kLongestWait = std::chrono::seconds(25);
+// Pause between a change and the next call, so that a burst of changes costs
+// few calls. Small beside the seconds in which changes must be in force.
+constexpr std::chrono::milliseconds kBatchPause{150};
+// Pauses after a failed call grow between these.
+constexpr std::chrono::milliseconds kFirstPause{100};
+constexpr std::chrono::milliseconds kLongestPause{800};
+
+}  // namespace
+
+struct TableFollower::State : std::enable_shared_from_this<State> {
+  State(const net::any_io_executor& executor, RandomSource& random)
+      : executor(executor), timer(executor), random(random) {}
+
+  net::awaitable<void> Run();
+  net::awaitable<void> ReadWhole();
+  net::awaitable<void> ReadChanges();
+  net::awaitable<void> Pause(std::chrono::milliseconds duration);
+  net::awaitable<void> OnFailure(RowStoreError error);
+  void SetAvailable(bool now_available);
+
+  net::any_io_executor executor;
+  net::steady_timer timer;
+  RandomSource& random;
+  std::string table;
+  std::unique_ptr<RowStore> store;
+  TableEvents events;
+  // Nothing has been read yet, or the history has a gap.
+  bool needs_whole = true;
+  std::optional<RowVersion> version;
+  std::optional<bool> available;
+  std::chrono::milliseconds failure_pause = kFirstPause;
+  bool stopped = false;
+};
+
+net::awaitable<void> TableFollower::State::Run() {
+  while (!this->stopped) {
+    if (this->needs_whole) {
+      co_await this->ReadWhole();
+    } else {
+      co_await this->ReadChanges();
+    }
+  }
+}
+
+net::awaitable<void> TableFollower::State::ReadWhole() {
+  const auto rows = co_await this->store->ReadTable(this->table);
+  if (this->stopped) {
+    co_return;
+  }
+  if (!rows) {
+    co_await this->OnFailure(rows.error());
+    co_return;
+  }
+  this->SetAvailable(true);
+  if (this->version && rows->version < *this->version) {
+    LogEvent("table_reading_stale", LogSeverity::kWarning)
+        .With("table", this->table)
+        .With("version", rows->version)
+        .With("held", *this->version);
+    co_await this->Pause(kBatchPause);
+    co_return;
+  }
+  this->needs_whole = false;
+  this->version = rows->version;
+  this->failure_pause = kFirstPause;
+  this->events.on_whole(*rows);
+}
+
+net::awaitable<void> TableFollower::State::ReadChanges() {
+  const auto changes = co_await this->store->AwaitChanges(
+      this->table, *this->version, kLongestWait);
+  if (this->stopped) {
+    co_return;
+  }
+  if (!changes) {
+    co_await this->OnFailure(changes.error());
+    co_return;
+  }
+  this->SetAvailable(true);
+  this->failure_pause = kFirstPause;
+  if (changes->version < *this->version) {
+    // An answer from before; the next one catches up.
+    co_await this->Pause(kBatchPause);
+    co_return;
+  }
+  this->version = changes->version;
+  if (!changes->rows.empty()) {
+    this->events.on_changes(*changes);
+    co_await this->Pause(kBatchPause);
+  }
+}
+
+net::awaitable<void> TableFollower::State::OnFailure(RowStoreError error) {
+  if (error == RowStoreError::kHistoryGone) {
+    LogEvent("table_history_gone", LogSeverity::kWarning)
+        .With("table", this->table)
+        .With("version", *this->version);
+    this->needs_whole = true;
+    co_return;
+  }
+  if (this->available != false) {
+    LogEvent("store_lost", LogSeverity::kWarning)
+        .With("table", this->table)
+        .With("reason", RowStoreErrorName(error));
+  }
+  this->SetAvailable(false);
+  const double jitter = 0.5 + this->random.Fraction();
+  const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->failure_pause * jitter);
+  this->failure_pause = std::min(this->failure_pause * 2, kLongestPause);
+  co_await this->Pause(pause);
+}
+
+void TableFollower::State::SetAvailable(bool now_available) {
+  if (this->available == now_available) {
+    return;
+  }
+  if (now_available && this->available.has_value()) {
+    LogEvent("store_regained").With("table", this->table);
+  }
+  this->available = now_available;
+  this->events.on_available(now_available);
+}
+
+net::awaitable<void> TableFollower::State::Pause(
+    std::chrono::milliseconds duration) {
+  this->timer.expires_after(duration);
+  co_await this->timer.async_wait(kAwait);
+}
+
+TableFollower::TableFollower(const net::any_io_executor& executor,
+                             std::string table,
+                             std::unique_ptr<RowStore> store,
+                             TableEvents events,
+                             RandomSource& random)
+    : state(std::make_shared<State>(executor, random)) {
+  this->state->table = std::move(table);
+  this->state->store = std::move(store);
+  this->state->events = std::move(events);
+}
+
+TableFollower::~TableFollower() {
+  this->Stop();
+}
+
+void TableFollower::Start() {
+  net::co_spawn(
+      this->state->executor,
+      [](std::shared_ptr<State> state) -> net::awaitable<void> {
+        co_await state->Run();
+      }(this->state),
+      net::detached);
+}
+
+void TableFollower::Stop() {
+  this->state->stopped = true;
+  this->state->timer.cancel();
+}
+
+void TableFollower::Hurry() {
+  this->state->timer.cancel();
+}
+
+}  // namespace acacia
