Judge backend servers by the whole fleet's outcomes, and log without blocking

Cause: three in ten backend servers reset most requests for 4 to 20 s at any time, and one entry of 32 sees one request a backend server every 7 s, so each learnt alone and too late. Change: FleetPool keeps suspicion from every entry's outcomes, told by datagram every 40 ms; idempotent requests probe suspects. Log lines go to standard output through a bounded buffer and never block.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -13,6 +13,7 @@
 #include "platform/host_adapter.h"
 #include "src/clock.h"
 #include "src/entry_server.h"
+#include "src/fleet_pool.h"
 #include "src/host_control.h"
 #include "src/log_event.h"
 #include "src/settings.h"
@@ -76,6 +77,13 @@
   acacia::EntryPolicy policy;
   if (adapter != nullptr) {
     policy.dialect = adapter->dialect;
+    policy.make_chooser = [domain = settings.failure_domain](
+                              const acacia::ServiceName& service,
+                              const acacia::InstanceId& /*self*/,
+                              acacia::RandomSource& random) {
+      return std::make_unique<acacia::FleetPool>(
+          service, acacia::FailureDomain(domain), random);
+    };
     policy.close_while_leaving = true;
     policy.longest_stop =
         std::chrono::duration_cast<acacia::Duration>(
--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -74,6 +74,10 @@
   // When a backend server that is closed for the moment opens again.
   virtual std::optional<TimePoint> NextOpening(TimePoint now) const = 0;
 
+  // How other entries' attempts went. Ignored where each judges alone.
+  virtual void OnFleetEvidence(
+      const std::vector<schema::BackendEvidenceT>& /*evidence*/,
+      TimePoint /*now*/) {}
   virtual std::vector<schema::BackendEvidenceT> TakeEvidence() = 0;
   virtual std::vector<std::string> Explain(TimePoint now) const = 0;
 };
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -531,6 +531,13 @@
   return state.TakeActions(now);
 }
 
+DispatchActions Dispatcher::OnFleetEvidence(
+    const std::vector<schema::BackendEvidenceT>& evidence,
+    TimePoint now) {
+  this->state->pool->OnFleetEvidence(evidence, now);
+  return this->state->TakeActions(now);
+}
+
 std::vector<schema::BackendEvidenceT> Dispatcher::TakeEvidence(
     TimePoint /*now*/) {
   return this->state->pool->TakeEvidence();
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -45,6 +45,8 @@
   std::uint32_t max_attempts = 0;
   // Requests with the same key take similar times.
   std::string latency_key{};
+  // An answer is worth most up to this time; zero: not stated.
+  Duration target_latency{};
   std::uint64_t body_bytes = 0;
 };
 
@@ -179,6 +181,11 @@
   std::optional<TimePoint> NextTimer() const;
   DispatchActions OnTimer(TimePoint now);
 
+  // Evidence that other entries have gathered.
+  DispatchActions OnFleetEvidence(
+      const std::vector<schema::BackendEvidenceT>& evidence,
+      TimePoint now);
+
   // Evidence gathered since the last call.
   std::vector<schema::BackendEvidenceT> TakeEvidence(TimePoint now);
 
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -12,6 +12,7 @@
 #include "src/entry_context.h"
 #include "src/entry_link.h"
 #include "src/log_event.h"
+#include "src/log_writer.h"
 #include "src/operator_server.h"
 #include "src/random_source.h"
 
@@ -54,6 +55,8 @@
   void LapseEjections();
   void Rebuild();
   schema::EntryReportT MakeReport();
+  std::vector<schema::BackendEvidenceT> TakeEvidence();
+  void ApplyEvidence(const std::vector<schema::BackendEvidenceT>& evidence);
   OperatorHandlers MakeOperatorHandlers();
   std::vector<std::string> Status();
   std::vector<std::string> Explain(const ServiceName& service);
@@ -255,14 +258,39 @@
   report.in_flight = this->context.active_requests.load();
   report.stopping = this->stop_begun.load();
   report.stopped = this->stopped.load();
+  for (schema::BackendEvidenceT& evidence : this->TakeEvidence()) {
+    report.evidence.push_back(
+        std::make_unique<schema::BackendEvidenceT>(std::move(evidence)));
+  }
+  return report;
+}
+
+std::vector<schema::BackendEvidenceT> EntryServer::State::TakeEvidence() {
+  std::vector<schema::BackendEvidenceT> all;
   for (const auto& [name, service] : this->context.services.All()) {
     for (schema::BackendEvidenceT& evidence : service->TakeEvidence()) {
       evidence.service = name.Value();
-      report.evidence.push_back(
-          std::make_unique<schema::BackendEvidenceT>(std::move(evidence)));
+      all.push_back(std::move(evidence));
+    }
+  }
+  return all;
+}
+
+void EntryServer::State::ApplyEvidence(
+    const std::vector<schema::BackendEvidenceT>& evidence) {
+  std::map<ServiceName, std::vector<schema::BackendEvidenceT>> by_service;
+  for (const schema::BackendEvidenceT& each : evidence) {
+    by_service[ServiceName(each.service)].push_back(each);
+  }
+  for (const auto& [name, items] : by_service) {
+    if (const auto service = this->context.services.Find(name)) {
+      service->Feed(
+          [&items = items](Dispatcher& dispatcher, TimePoint now) {
+            return dispatcher.OnFleetEvidence(items, now);
+          },
+          nullptr);
     }
   }
-  return report;
 }
 
 OperatorHandlers EntryServer::State::MakeOperatorHandlers() {
@@ -323,6 +351,7 @@
   while (!this->stopped.load()) {
     co_await this->Pause(kHousekeepingInterval);
     this->context.pool.CloseIdle(this->clock.Now());
+    StandardLog().Flush();
     this->LapseEjections();
   }
 }
@@ -386,6 +415,15 @@
   this->state->OnFleet(std::move(fleet));
 }
 
+void EntryServer::ApplyEvidence(
+    const std::vector<schema::BackendEvidenceT>& evidence) {
+  this->state->ApplyEvidence(evidence);
+}
+
+std::vector<schema::BackendEvidenceT> EntryServer::TakeEvidence() {
+  return this->state->TakeEvidence();
+}
+
 void EntryServer::OnStop(std::function<void()> hook) {
   this->state->on_stop = std::move(hook);
 }
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
+#include <vector>
 
 #include "src/clock.h"
 #include "src/configuration.h"
@@ -43,6 +44,10 @@
   // configuration than the one in force is refused. Thread-safe.
   void ApplyConfiguration(std::shared_ptr<const Configuration> configuration);
   void ApplyFleet(std::unique_ptr<schema::FleetUpdateT> fleet);
+  // Evidence about backend servers from other entries, and this entry's own
+  // since the last call. Thread-safe.
+  void ApplyEvidence(const std::vector<schema::BackendEvidenceT>& evidence);
+  std::vector<schema::BackendEvidenceT> TakeEvidence();
   // Called once, on any thread, when the graceful shutdown begins. Set before
   // Start.
   void OnStop(std::function<void()> hook);
--- /dev/null
+++ b/src/fleet_pool.cc
@@ -0,0 +1,363 @@
+#include "src/fleet_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <sstream>
+#include <utility>
+
+namespace acacia {
+namespace {
+
+// A suspect gets a probe from one entry or another about this often: each entry
+// draws its own turn between these, and every outcome heard of moves it.
+constexpr Duration kProbeAfter = std::chrono::milliseconds(900);
+constexpr Duration kProbeSpread = std::chrono::milliseconds(2500);
+// When fewer than this share is trusted, the least suspect are used too: the
+// trouble is then the service's, or this entry's own.
+constexpr double kLeastTrusted = 0.4;
+// Drawn at random, of which the least loaded is taken. Few, so that entries
+// with the same news do not all choose the same one.
+constexpr int kDraws = 3;
+// In units of a full set of slots: what a backend server in another failure
+// domain, or one that is cold, costs more.
+constexpr double kDistantCost = 0.6;
+constexpr double kColdCost = 0.8;
+// Bodies from this size on stay near even at a higher load.
+constexpr std::uint64_t kLargeBody = 32 * 1024;
+constexpr double kDistantLargeCost = 1.0;
+// A reported load counts less the older it is.
+constexpr std::chrono::duration<double> kReportMemory(0.5);
+// An answer is late after this many times the usual time, or at this share of
+// its target while the usual time is unknown.
+constexpr double kLateFactor = 2.5;
+constexpr std::size_t kLeastLatencies = 4;
+constexpr double kEarliestLate = 0.25;
+constexpr double kLatestLate = 0.6;
+
+bool IsExcluded(const std::vector<BackendId>& ids, const BackendId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+Duration Part(Duration whole, double part) {
+  return std::chrono::duration_cast<Duration>(whole * part);
+}
+
+}  // namespace
+
+FleetPool::FleetPool(ServiceName service,
+                     FailureDomain domain,
+                     RandomSource& random)
+    : service(std::move(service)), domain(std::move(domain)), random(random) {}
+
+void FleetPool::Apply(const ServiceView& view, TimePoint /*now*/) {
+  this->listed.clear();
+  for (auto& [id, backend] : this->backends) {
+    backend->in_view = false;
+  }
+  for (const BackendServer& server : view.backend_servers) {
+    std::unique_ptr<FleetBackend>& slot = this->backends[server.id];
+    if (!slot) {
+      slot = std::make_unique<FleetBackend>();
+    }
+    slot->server = server;
+    slot->server.slots = std::max(server.slots, 1U);
+    slot->in_view = true;
+    slot->leaving = view.leaving.contains(server.id);
+    slot->is_cold = view.cold.contains(server.id);
+    this->listed.push_back(slot.get());
+  }
+  std::erase_if(this->backends, [](const auto& item) {
+    return !item.second->in_view && item.second->InFlight() == 0;
+  });
+}
+
+FleetBackend* FleetPool::Find(const BackendId& id) const {
+  const auto found = this->backends.find(id);
+  return found == this->backends.end() ? nullptr : found->second.get();
+}
+
+FleetPool::Candidates FleetPool::Usable(const PickRequest& request) const {
+  Candidates usable;
+  for (FleetBackend* backend : this->listed) {
+    if (backend->IsInService() &&
+        !IsExcluded(request.excluded, backend->server.id)) {
+      usable.push_back(backend);
+    }
+  }
+  return usable;
+}
+
+PooledBackend* FleetPool::Pick(const PickRequest& request, TimePoint now) {
+  const Candidates usable = this->Usable(request);
+  if (usable.empty()) {
+    return nullptr;
+  }
+  // Only a first attempt may be a probe: a retry must find a good answer.
+  if (request.work.idempotent && request.excluded.empty()) {
+    if (FleetBackend* probe = this->PickProbe(usable, now)) {
+      return probe;
+    }
+  }
+  return this->PickLeastLoaded(this->Trusted(usable, now), request.work, now);
+}
+
+FleetBackend* FleetPool::PickProbe(const Candidates& usable, TimePoint now) {
+  FleetBackend* due = nullptr;
+  for (FleetBackend* backend : usable) {
+    if (backend->shared.IsSuspect(now) && backend->next_probe <= now &&
+        backend->InFlight() == 0 &&
+        (due == nullptr || backend->next_probe < due->next_probe)) {
+      due = backend;
+    }
+  }
+  if (due != nullptr) {
+    this->ScheduleProbe(*due, now);
+  }
+  return due;
+}
+
+FleetPool::Candidates FleetPool::Trusted(Candidates usable,
+                                         TimePoint now) const {
+  const auto trusted_end =
+      std::stable_partition(usable.begin(), usable.end(), [now](auto* each) {
+        return !each->shared.IsSuspect(now);
+      });
+  const auto trusted =
+      static_cast<std::size_t>(trusted_end - usable.begin());
+  const auto least = static_cast<std::size_t>(
+      std::ceil(kLeastTrusted * static_cast<double>(usable.size())));
+  if (trusted < least) {
+    std::sort(trusted_end, usable.end(), [now](auto* a, auto* b) {
+      return a->shared.Suspicion(now) < b->shared.Suspicion(now);
+    });
+  }
+  usable.resize(std::max(trusted, least));
+  return usable;
+}
+
+double FleetPool::Cost(const FleetBackend& backend,
+                       const Work& work,
+                       TimePoint now) const {
+  const auto slots = static_cast<double>(backend.server.slots);
+  const std::chrono::duration<double> age = now - backend.reported_at;
+  const double fresh = std::exp(-(age / kReportMemory));
+  const double reported =
+      fresh * (backend.reported.running + backend.reported.waiting);
+  double cost = std::max<double>(reported, backend.InFlight()) / slots;
+  if (backend.server.failure_domain != this->domain) {
+    cost += work.body_bytes >= kLargeBody ? kDistantLargeCost : kDistantCost;
+  }
+  if (backend.is_cold) {
+    cost += kColdCost;
+  }
+  return cost + backend.shared.Suspicion(now);
+}
+
+// The cheapest of a few drawn at random, as many from this entry's own failure
+// domain as there are.
+FleetBackend* FleetPool::PickLeastLoaded(const Candidates& among,
+                                         const Work& work,
+                                         TimePoint now) {
+  Candidates near;
+  Candidates distant;
+  for (FleetBackend* backend : among) {
+    const bool is_near = backend->server.failure_domain == this->domain;
+    (is_near ? near : distant).push_back(backend);
+  }
+  FleetBackend* best = nullptr;
+  double best_cost = 0;
+  for (const Candidates* group : {&near, &distant}) {
+    for (int i = 0; i < kDraws && !group->empty(); ++i) {
+      FleetBackend* drawn = (*group)[this->random.Below(group->size())];
+      const double cost = this->Cost(*drawn, work, now);
+      if (best == nullptr || cost < best_cost) {
+        best = drawn;
+        best_cost = cost;
+      }
+    }
+  }
+  return best;
+}
+
+bool FleetPool::HasChoice(const std::vector<BackendId>& excluded) const {
+  return std::any_of(this->listed.begin(), this->listed.end(),
+                     [&excluded](const FleetBackend* backend) {
+                       return backend->IsInService() &&
+                              !IsExcluded(excluded, backend->server.id);
+                     });
+}
+
+void FleetPool::OnStart(PooledBackend& backend,
+                        const Work& work,
+                        TimePoint /*now*/) {
+  ++backend.in_flight[static_cast<std::size_t>(work.work_class)];
+}
+
+void FleetPool::OnRelease(PooledBackend& backend,
+                          const Work& work,
+                          bool was_overdue) {
+  backend.overdue -= was_overdue ? 1 : 0;
+  --backend.in_flight[static_cast<std::size_t>(work.work_class)];
+  if (!backend.in_view && backend.InFlight() == 0) {
+    this->backends.erase(BackendId(backend.server.id));
+  }
+}
+
+void FleetPool::ScheduleProbe(FleetBackend& backend, TimePoint now) {
+  backend.next_probe =
+      now + kProbeAfter + Part(kProbeSpread, this->random.Fraction());
+}
+
+void FleetPool::AddBad(FleetBackend& backend, double weight, TimePoint now) {
+  backend.shared.AddBad(weight, now);
+  this->ScheduleProbe(backend, now);
+}
+
+void FleetPool::AddGood(FleetBackend& backend, TimePoint now) {
+  backend.shared.AddGood(now);
+  this->ScheduleProbe(backend, now);
+}
+
+void FleetPool::OnOutcome(PooledBackend& pooled,
+                          const AttemptOutcome& outcome,
+                          TimePoint now) {
+  auto& backend = static_cast<FleetBackend&>(pooled);
+  switch (outcome.result) {
+    case AttemptResult::kSuccess: {
+      const Duration taken = now - outcome.started;
+      const auto late = this->SlowAfter(outcome.work);
+      this->latencies[outcome.work.latency_key].Add(taken);
+      if (late && taken > *late) {
+        if (!outcome.was_overdue) {
+          ++backend.late;
+          this->AddBad(backend, suspicion::kSlow, now);
+        }
+        return;
+      }
+      ++backend.good;
+      return this->AddGood(backend, now);
+    }
+    case AttemptResult::kServerError:
+      ++backend.server_errors;
+      return this->AddBad(backend, suspicion::kServerError, now);
+    case AttemptResult::kBroken:
+    case AttemptResult::kTruncated:
+    case AttemptResult::kMismatched:
+      ++backend.broken;
+      return this->AddBad(backend, suspicion::kBroken, now);
+    case AttemptResult::kNotSent:
+      return this->AddBad(backend, suspicion::kUnreachable, now);
+    case AttemptResult::kTimedOut:
+      ++backend.late;
+      return this->AddBad(backend, suspicion::kSlow, now);
+    case AttemptResult::kRefused:
+      if (backend.reported_at == now &&
+          backend.reported.running < backend.server.slots) {
+        ++backend.server_errors;
+        this->AddBad(backend, suspicion::kRefusedFree, now);
+      }
+      return;
+    case AttemptResult::kCancelled:
+      return;
+  }
+}
+
+void FleetPool::OnReportedLoad(PooledBackend& pooled,
+                               const ReportedLoad& load,
+                               TimePoint now) {
+  auto& backend = static_cast<FleetBackend&>(pooled);
+  backend.reported = load;
+  backend.reported_at = now;
+}
+
+void FleetPool::OnOverdue(PooledBackend& pooled,
+                          const Work& /*work*/,
+                          TimePoint /*started*/,
+                          TimePoint now) {
+  auto& backend = static_cast<FleetBackend&>(pooled);
+  ++backend.overdue;
+  ++backend.late;
+  this->AddBad(backend, suspicion::kSlow, now);
+}
+
+Duration FleetPool::MedianLatency(const Work& work) const {
+  const auto found = this->latencies.find(work.latency_key);
+  return found == this->latencies.end() ? Duration{} : found->second.Median();
+}
+
+std::optional<Duration> FleetPool::SlowAfter(const Work& work) const {
+  const auto found = this->latencies.find(work.latency_key);
+  const bool known = found != this->latencies.end() &&
+                     found->second.Count() >= kLeastLatencies;
+  const Duration target = work.target_latency;
+  if (target == Duration{}) {
+    return known ? std::optional(Part(found->second.Median(), kLateFactor))
+                 : std::nullopt;
+  }
+  if (!known) {
+    return Part(target, kLatestLate);
+  }
+  return std::clamp(Part(found->second.Median(), kLateFactor),
+                    Part(target, kEarliestLate), Part(target, kLatestLate));
+}
+
+void FleetPool::OnFleetEvidence(
+    const std::vector<schema::BackendEvidenceT>& evidence,
+    TimePoint now) {
+  for (const schema::BackendEvidenceT& each : evidence) {
+    FleetBackend* backend = this->Find(BackendId(each.id));
+    if (backend == nullptr) {
+      continue;
+    }
+    const double bad = suspicion::kBroken * each.failures +
+                       suspicion::kServerError * each.server_errors +
+                       suspicion::kSlow * each.slow;
+    for (std::uint32_t i = 0; i < each.good; ++i) {
+      this->AddGood(*backend, now);
+    }
+    if (bad > 0) {
+      this->AddBad(*backend, bad, now);
+    }
+  }
+}
+
+std::vector<schema::BackendEvidenceT> FleetPool::TakeEvidence() {
+  std::vector<schema::BackendEvidenceT> evidence;
+  for (FleetBackend* backend : this->listed) {
+    if (backend->good + backend->broken + backend->server_errors +
+            backend->late ==
+        0) {
+      continue;
+    }
+    schema::BackendEvidenceT item;
+    item.service = this->service.Value();
+    item.id = backend->server.id.Value();
+    item.good = std::exchange(backend->good, 0);
+    item.failures = std::exchange(backend->broken, 0);
+    item.server_errors = std::exchange(backend->server_errors, 0);
+    item.slow = std::exchange(backend->late, 0);
+    item.avoided = backend->shared.LastHeard() != backend->shared.LastGood() ||
+                   item.failures + item.server_errors + item.slow > 0;
+    evidence.push_back(std::move(item));
+  }
+  return evidence;
+}
+
+std::vector<std::string> FleetPool::Explain(TimePoint now) const {
+  std::vector<std::string> lines;
+  for (const FleetBackend* backend : this->listed) {
+    std::ostringstream line;
+    line << backend->server.id.Value() << " "
+         << (backend->leaving                  ? "leaving"
+             : backend->shared.IsSuspect(now) ? "suspect"
+                                               : "in service")
+         << " suspicion=" << backend->shared.Suspicion(now)
+         << " in_flight=" << backend->InFlight()
+         << " reported=" << backend->reported.running << ","
+         << backend->reported.waiting << "," << backend->reported.slots;
+    lines.push_back(line.str());
+  }
+  return lines;
+}
+
+}  // namespace acacia
--- /dev/null
+++ b/src/fleet_pool.h
@@ -0,0 +1,103 @@
+// Chooses backend servers for an entry that sees only a few requests a second
+// and hears from the other entries how theirs went. Work that may run only once
+// goes where the fleet has had good answers lately; suspects get idempotent
+// requests now and then, which can be tried again elsewhere, as their way back.
+// Near backend servers go before distant ones while they have room.
+//
+// For small fleets under load that fits the backend servers' slots and queues;
+// a service that is full as a whole refuses, and retries stay in their budget.
+#ifndef SRC_FLEET_POOL_H_
+#define SRC_FLEET_POOL_H_
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/backend_chooser.h"
+#include "src/latency_window.h"
+#include "src/random_source.h"
+#include "src/shared_health.h"
+
+namespace acacia {
+
+struct FleetBackend : PooledBackend {
+  SharedHealth shared;
+  bool is_cold = false;
+  ReportedLoad reported;
+  TimePoint reported_at{};
+  // The next idempotent request that shows whether a suspect is well again.
+  TimePoint next_probe{};
+  // This entry's outcomes since they were last taken.
+  std::uint32_t good = 0;
+  std::uint32_t broken = 0;
+  std::uint32_t server_errors = 0;
+  std::uint32_t late = 0;
+};
+
+class FleetPool : public BackendChooser {
+ public:
+  // `domain` is this entry's own failure domain.
+  FleetPool(ServiceName service, FailureDomain domain, RandomSource& random);
+
+  void Apply(const ServiceView& view, TimePoint now) override;
+  PooledBackend* Pick(const PickRequest& request, TimePoint now) override;
+  bool HasChoice(const std::vector<BackendId>& excluded) const override;
+  void OnStart(PooledBackend& backend,
+               const Work& work,
+               TimePoint now) override;
+  void OnRelease(PooledBackend& backend,
+                 const Work& work,
+                 bool was_overdue) override;
+  void PauseSpill(TimePoint /*now*/) override {}
+  void OnOutcome(PooledBackend& backend,
+                 const AttemptOutcome& outcome,
+                 TimePoint now) override;
+  void OnReportedLoad(PooledBackend& backend,
+                      const ReportedLoad& load,
+                      TimePoint now) override;
+  void OnOverdue(PooledBackend& backend,
+                 const Work& work,
+                 TimePoint started,
+                 TimePoint now) override;
+  std::optional<Duration> SlowAfter(const Work& work) const override;
+  Duration MedianLatency(const Work& work) const override;
+  void OnLeavingSeen(PooledBackend& /*backend*/, TimePoint /*now*/) override {}
+  std::optional<TimePoint> NextOpening(TimePoint /*now*/) const override {
+    return std::nullopt;
+  }
+  void OnFleetEvidence(const std::vector<schema::BackendEvidenceT>& evidence,
+                       TimePoint now) override;
+  std::vector<schema::BackendEvidenceT> TakeEvidence() override;
+  std::vector<std::string> Explain(TimePoint now) const override;
+
+ private:
+  using Candidates = std::vector<FleetBackend*>;
+
+  Candidates Usable(const PickRequest& request) const;
+  FleetBackend* PickProbe(const Candidates& usable, TimePoint now);
+  Candidates Trusted(Candidates usable, TimePoint now) const;
+  FleetBackend* PickLeastLoaded(const Candidates& among,
+                                const Work& work,
+                                TimePoint now);
+  double Cost(const FleetBackend& backend,
+              const Work& work,
+              TimePoint now) const;
+  void AddBad(FleetBackend& backend, double weight, TimePoint now);
+  void AddGood(FleetBackend& backend, TimePoint now);
+  void ScheduleProbe(FleetBackend& backend, TimePoint now);
+  FleetBackend* Find(const BackendId& id) const;
+
+  ServiceName service;
+  FailureDomain domain;
+  RandomSource& random;
+  std::unordered_map<BackendId, std::unique_ptr<FleetBackend>> backends;
+  // Those in the view.
+  Candidates listed;
+  // By Work.latency_key.
+  std::unordered_map<std::string, LatencyWindow> latencies;
+};
+
+}  // namespace acacia
+
+#endif  // SRC_FLEET_POOL_H_
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -2,12 +2,15 @@
 
 #include <flatbuffers/flatbuffers.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
+#include <iterator>
 #include <utility>
 
 #include "src/log_event.h"
 #include "src/member_directory.h"
 #include "src/operator_server.h"
+#include "src/peer_transport.h"
 #include "src/random_source.h"
 #include "src/table_follower.h"
 
@@ -18,6 +21,9 @@
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr Duration kUnboundedProgress = std::chrono::hours(1);
+// Outcomes of this time are told to the other entries together: short beside
+// the seconds that a fault lasts, long beside the cost of a wake-up.
+constexpr std::chrono::milliseconds kShareInterval{40};
 // Pause before a row that could not be written is written again.
 constexpr std::chrono::milliseconds kRowRetry{500};
 // Entries that are assumed for the shares of fleet-wide bounds before the
@@ -31,6 +37,20 @@
           builder.GetSize()};
 }
 
+std::string SerializeShare(
+    const std::string& instance,
+    const std::vector<schema::BackendEvidenceT>& evidence) {
+  schema::OutcomeShareT share;
+  share.instance = instance;
+  for (const schema::BackendEvidenceT& each : evidence) {
+    share.outcomes.push_back(std::make_unique<schema::BackendEvidenceT>(each));
+  }
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(schema::OutcomeShare::Pack(builder, &share));
+  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+          builder.GetSize()};
+}
+
 std::optional<schema::MemberUpdateT> ParseMember(const std::string& bytes) {
   const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
   flatbuffers::Verifier verifier(data, bytes.size());
@@ -60,6 +80,9 @@
   std::optional<RegisteredBackend> ReadRegistration(const TableRow& row);
   void UpdateFleet();
   void ArmTimer();
+  net::awaitable<void> ShareOutcomes();
+  void SendShare(const std::vector<schema::BackendEvidenceT>& evidence);
+  void OnDatagram(const std::string& bytes);
   net::awaitable<void> Register();
   net::awaitable<void> Unregister();
   void OnStop();
@@ -87,6 +110,7 @@
   // Version of this entry's own row.
   RowVersion own_row;
   std::vector<std::unique_ptr<TableFollower>> followers;
+  PeerTransport peers;
   OperatorServer lookups;
   OperatorServer readiness;
 };
@@ -126,6 +150,10 @@
       directory(DescribeSelf(settings, clock)),
       self(DescribeSelf(settings, clock)),
       own_rows(this->adapter.make_store()),
+      peers(strand,
+            [this](const PeerAddress& /*from*/, const std::string& bytes) {
+              this->OnDatagram(bytes);
+            }),
       lookups(strand,
               "",
               {{this->adapter.lookup_path,
@@ -186,6 +214,10 @@
       return listening;
     }
   }
+  if (auto listening = this->peers.Listen(this->host.peer_listen, "");
+      !listening) {
+    return listening;
+  }
   const auto each_configuration = [this](const TableRows& rows) {
     for (const TableRow& row : rows.rows) {
       this->OnConfigurationRow(row);
@@ -216,6 +248,12 @@
         co_await state->Register();
       }(this->shared_from_this()),
       net::detached);
+  net::co_spawn(
+      this->strand,
+      [](std::shared_ptr<State> state) -> net::awaitable<void> {
+        co_await state->ShareOutcomes();
+      }(this->shared_from_this()),
+      net::detached);
   return {};
 }
 
@@ -352,6 +390,57 @@
   });
 }
 
+net::awaitable<void> HostControl::State::ShareOutcomes() {
+  net::steady_timer pause(this->strand);
+  for (;;) {
+    pause.expires_after(kShareInterval);
+    co_await pause.async_wait(kAwait);
+    const auto evidence = this->entry.TakeEvidence();
+    if (!evidence.empty()) {
+      this->SendShare(evidence);
+    }
+  }
+}
+
+// Entries of the same failure domain mostly use the same backend servers and
+// hear everything; the others hear what concerns suspects.
+void HostControl::State::SendShare(
+    const std::vector<schema::BackendEvidenceT>& evidence) {
+  std::vector<schema::BackendEvidenceT> notable;
+  std::copy_if(evidence.begin(), evidence.end(), std::back_inserter(notable),
+               [](const auto& each) { return each.avoided; });
+  const std::string near = SerializeShare(this->self.instance, evidence);
+  const std::string distant =
+      notable.empty() ? "" : SerializeShare(this->self.instance, notable);
+  for (const auto& [instance, member] : this->directory.Members()) {
+    if (member.instance == this->self.instance) {
+      continue;
+    }
+    const bool is_near = member.failure_domain == this->self.failure_domain;
+    const std::string& bytes = is_near ? near : distant;
+    if (!bytes.empty()) {
+      this->peers.SendDatagram(PeerAddress(member.peer_address), bytes);
+    }
+  }
+}
+
+void HostControl::State::OnDatagram(const std::string& bytes) {
+  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(data, bytes.size());
+  if (!verifier.VerifyBuffer<schema::OutcomeShare>(nullptr)) {
+    LogEvent("peer_message_malformed", LogSeverity::kWarning)
+        .With("bytes", bytes.size());
+    return;
+  }
+  schema::OutcomeShareT share;
+  flatbuffers::GetRoot<schema::OutcomeShare>(data)->UnPackTo(&share);
+  std::vector<schema::BackendEvidenceT> evidence;
+  for (const auto& each : share.outcomes) {
+    evidence.push_back(*each);
+  }
+  this->entry.ApplyEvidence(evidence);
+}
+
 net::awaitable<void> HostControl::State::Register() {
   while (!this->stopping) {
     const auto written = co_await this->own_rows->Put(
--- a/src/log_event.cc
+++ b/src/log_event.cc
@@ -2,60 +2,79 @@
 
 #include <glog/logging.h>
 
-#include <iomanip>
+#include <chrono>
+#include <cstdlib>
+
+#include "src/log_writer.h"
 
 namespace acacia {
 namespace {
 
-bool NeedsQuotes(const std::string& value) {
+bool NeedsQuotes(std::string_view value) {
   return value.empty() ||
-         value.find_first_of(" \"=\n\r\t") != std::string::npos;
+         value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
 }
 
-std::string OneLine(std::string value) {
-  for (char& c : value) {
-    if (c == '\n' || c == '\r') {
-      c = ' ';
-    }
+std::string_view LevelName(LogSeverity severity) {
+  switch (severity) {
+    case LogSeverity::kInfo:
+      return "info";
+    case LogSeverity::kWarning:
+      return "warning";
+    case LogSeverity::kError:
+      return "error";
   }
-  return value;
+  return "info";
+}
+
+// Seconds since 1970 with microseconds.
+std::string TimeText() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+  constexpr int kMicros = 1000000;
+  std::string fraction = std::to_string(micros % kMicros);
+  fraction.insert(0, 6 - fraction.size(), '0');
+  return std::to_string(micros / kMicros) + "." + fraction;
 }
 
 }  // namespace
 
 LogEvent::LogEvent(std::string_view name, LogSeverity severity)
-    : severity(severity), line("event=") {
+    : severity(severity), line("time=") {
+  this->line += TimeText();
+  this->line += " level=";
+  this->line += LevelName(severity);
+  this->line += " event=";
   this->line += name;
 }
 
 LogEvent::~LogEvent() {
-  switch (this->severity) {
-    case LogSeverity::kInfo:
-      LOG(INFO) << this->line;
-      break;
-    case LogSeverity::kWarning:
-      LOG(WARNING) << this->line;
-      break;
-    case LogSeverity::kError:
-      LOG(ERROR) << this->line;
-      break;
-  }
+  StandardLog().Write(this->line, this->severity != LogSeverity::kInfo);
 }
 
-void LogEvent::Append(std::string_view key, const std::string& value) {
-  std::ostringstream out;
-  out << ' ' << key << '=';
-  if (NeedsQuotes(value)) {
-    out << std::quoted(OneLine(value));
-  } else {
-    out << value;
+void LogEvent::Append(std::string_view key, std::string_view value) {
+  this->line += ' ';
+  this->line += key;
+  this->line += '=';
+  if (!NeedsQuotes(value)) {
+    this->line += value;
+    return;
+  }
+  this->line += '"';
+  for (const char c : value) {
+    if (c == '"' || c == '\\') {
+      this->line += '\\';
+    }
+    this->line += c == '\n' || c == '\r' ? ' ' : c;
   }
-  this->line += out.str();
+  this->line += '"';
 }
 
 void StartLogging(const char* program) {
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(program);
+  std::atexit([] { StandardLog().Flush(); });
 }
 
 }  // namespace acacia
--- a/src/log_event.h
+++ b/src/log_event.h
@@ -1,5 +1,6 @@
-// Structured logs: one line of key=value pairs per event, through glog. Values
-// with spaces or quotes are quoted.
+// Structured logs: one line of key=value pairs per event, on standard output
+// (log_writer.h). Values with spaces or quotes are quoted. glog reports only
+// what ends the process (check.h), on standard error.
 //   LogEvent("backend_ejected").With("service", service).With("backend_server",
 //   id);
 // The line is written when the LogEvent is destroyed.
@@ -9,6 +10,7 @@
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace acacia {
 
@@ -24,20 +26,29 @@
 
   template <typename T>
   LogEvent& With(std::string_view key, const T& value) {
-    std::ostringstream text;
-    text << value;
-    this->Append(key, text.str());
+    if constexpr (std::is_convertible_v<const T&, std::string_view>) {
+      this->Append(key, std::string_view(value));
+    } else if constexpr (std::is_arithmetic_v<T>) {
+      this->Append(key, std::to_string(value));
+    } else if constexpr (requires { std::string_view(value.Value()); }) {
+      this->Append(key, std::string_view(value.Value()));
+    } else {
+      std::ostringstream text;
+      text << value;
+      this->Append(key, text.str());
+    }
     return *this;
   }
 
  private:
-  void Append(std::string_view key, const std::string& value);
+  void Append(std::string_view key, std::string_view value);
 
   LogSeverity severity;
   std::string line;
 };
 
-// Sends glog's output to standard error. Call once, first in main.
+// Sends glog's output to standard error, and the lines still held to standard
+// output when the process exits. Call once, first in main.
 void StartLogging(const char* program);
 
 }  // namespace acacia
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -131,6 +131,7 @@
         this->connection->socket, this->connection->buffer, *this->parser,
         net::buffer(space));
     if (piece.error) {
+      this->last_error = piece.error;
       co_return this->Failed(AttemptResult::kTruncated);
     }
     body.append(space.data(), piece.bytes);
@@ -158,6 +159,7 @@
       error = co_await FillBuffer(this->connection->socket, buffer, kReadBytes);
     }
     if (error) {
+      this->last_error = error;
       co_return this->Failed(AttemptResult::kBroken);
     }
   }
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/caller_headers.h"
+#include "src/log_event.h"
 #include "src/socket_address.h"
 
 namespace acacia {
@@ -176,6 +177,7 @@
     co_return false;
   }
   this->connection = std::move(out.connection);
+  this->reused = this->connection != nullptr;
   if (this->connection) {
     co_return true;
   }
@@ -197,6 +199,7 @@
   const net::ip::tcp::endpoint endpoint(address->address, address->port);
   const auto [error] =
       co_await this->connection->socket.async_connect(endpoint, kAwait);
+  this->last_error = error;
   if (error || this->cancelled || this->timed_out) {
     co_return false;
   }
@@ -237,6 +240,7 @@
   const auto [error, bytes] =
       co_await http::async_write(this->connection->socket, message, kAwait);
   this->sent_bytes = bytes > 0;
+  this->last_error = error;
   this->request_sent = !error;
   this->Progress();
   co_return !error;
@@ -358,12 +362,33 @@
   if (!ran_nothing && this->sent_bytes) {
     this->exchange.outcome_unknown = true;
   }
+  this->LogEnd(result);
   if (!this->cancelled) {
     this->owner.OnAttemptEnd(*this, result);
   }
   this->WriteSpan(result);
 }
 
+void ProxyAttempt::LogEnd(AttemptResult result) const {
+  const bool good = result == AttemptResult::kSuccess;
+  const auto taken = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->context.clock.Now() - this->began);
+  LogEvent event("attempt_ended",
+                 good ? LogSeverity::kInfo : LogSeverity::kWarning);
+  event.With("request", this->request_id)
+      .With("attempt", this->start.attempt)
+      .With("backend_server", this->start.backend)
+      .With("result", AttemptResultName(result))
+      .With("ms", taken.count())
+      .With("connection", this->reused ? "reused" : "new");
+  if (this->head_arrived) {
+    event.With("status", this->parser->get().result_int());
+  }
+  if (this->last_error) {
+    event.With("error", this->last_error.message());
+  }
+}
+
 void ProxyAttempt::WriteSpan(AttemptResult result) {
   if (!this->context.spans.IsOn()) {
     return;
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -171,6 +171,7 @@
   void AwaitCaller();
   AttemptResult Failed(AttemptResult otherwise) const;
   void WriteSpan(AttemptResult result);
+  void LogEnd(AttemptResult result) const;
   void Release(bool reusable);
 
   EntryContext& context;
@@ -188,6 +189,10 @@
   bool sent_bytes = false;
   bool request_sent = false;
   bool head_arrived = false;
+  // The connection had carried a request before.
+  bool reused = false;
+  // Why the connection could not be used, for the log.
+  boost::system::error_code last_error;
   bool uploading = false;
   bool upload_failed = false;
   bool reported = false;
--- a/src/proxy_session.cc
+++ b/src/proxy_session.cc
@@ -234,6 +234,7 @@
   const auto& head = this->caller.Head();
   Exchange& prepared = this->exchange.emplace();
   prepared.id = this->context.NextRequest();
+  this->generation = snapshot.configuration->generation;
   const Duration allowed =
       std::min(route.deadline, options.deadline.value_or(route.deadline));
   prepared.work.request = prepared.id;
@@ -241,6 +242,8 @@
   prepared.work.account = options.account;
   prepared.work.max_attempts = route.max_attempts;
   prepared.work.latency_key = route.name;
+  prepared.work.target_latency = route.target_latency;
+  prepared.work.body_bytes = this->caller.ContentLength();
   prepared.replayable_bytes = this->context.settings.replayable_body_bytes;
   prepared.work.idempotent = IsIdempotent(route, head.method_string(), options);
   prepared.deadline = this->began + allowed;
@@ -410,15 +413,29 @@
   }
 }
 
+// The caller's id of the request where it gave one.
+std::string ProxySession::LoggedId() const {
+  if (!this->exchange) {
+    return "";
+  }
+  return this->exchange->caller_request_id.empty()
+             ? std::to_string(this->exchange->id.Value())
+             : this->exchange->caller_request_id;
+}
+
 void ProxySession::LogRefusal(ErrorKind kind) {
   const ErrorAnswer& answer = AnswerFor(kind);
-  if (answer.outcome == Outcome::kNotRun) {
-    return;
-  }
-  LogEvent("request_failed", LogSeverity::kWarning)
+  const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->context.clock.Now() - this->began);
+  LogEvent(answer.outcome == Outcome::kNotRun ? "request_refused"
+                                              : "request_failed",
+           LogSeverity::kWarning)
+      .With("request", this->LoggedId())
       .With("service", this->service_name)
-      .With("request", this->exchange ? this->exchange->id : RequestId())
-      .With("error", answer.name);
+      .With("route", this->exchange ? this->exchange->work.latency_key : "")
+      .With("error", answer.name)
+      .With("ms", waited.count())
+      .With("generation", this->generation);
 }
 
 void ProxySession::WriteSpan(std::string_view result) {
--- a/src/proxy_session.h
+++ b/src/proxy_session.h
@@ -94,6 +94,7 @@
   ErrorKind TruthfulKind(ErrorKind kind) const;
   void OnWatchdog();
   void LogRefusal(ErrorKind kind);
+  std::string LoggedId() const;
   void WriteSpan(std::string_view result);
 
   EntryContext& context;
@@ -111,6 +112,8 @@
   std::optional<Exchange> exchange;
   TimePoint began;
   ServiceName service_name;
+  // Of the configuration that routed it.
+  Generation generation;
   std::uint64_t parent_span = 0;
   std::shared_ptr<DispatchedService> service;
   ServiceMetrics* metrics = nullptr;
