--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -4,7 +4,9 @@
 // twice to stop, 2 for mistakes in the command line or the settings.
 #include <boost/asio.hpp>
 #include <boost/program_options.hpp>
+#include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -16,6 +18,7 @@
 #include "src/fleet_pool.h"
 #include "src/host_control.h"
 #include "src/log_event.h"
+#include "src/log_writer.h"
 #include "src/settings.h"
 
 namespace {
@@ -49,24 +52,57 @@
   return line;
 }
 
-// The first signal starts the graceful shutdown, the second ends the process.
-void HandleSignals(boost::asio::signal_set& signals,
-                   acacia::EntryServer& server,
-                   bool again) {
-  signals.async_wait(
-      [&signals, &server, again](const boost::system::error_code& error, int) {
-        if (error) {
-          return;
-        }
-        if (again) {
-          acacia::LogEvent("stopped_at_once", acacia::LogSeverity::kWarning)
-              .With("exit_code", kExitFailure);
-          std::_Exit(kExitFailure);
-        }
-        server.BeginStop();
-        HandleSignals(signals, server, true);
-      });
-}
+// SIGTERM and SIGINT start the graceful shutdown, a second one ends the process.
+// SIGHUP reads the settings again.
+class SignalHandler {
+ public:
+  SignalHandler(acacia::EntryServer& server, std::function<void()> reload)
+      : signals(context, SIGTERM, SIGINT, SIGHUP),
+        server(server),
+        reload(std::move(reload)) {
+    this->Await();
+    this->thread = std::thread([this] { this->context.run(); });
+  }
+  ~SignalHandler() {
+    this->context.stop();
+    this->thread.join();
+  }
+  SignalHandler(const SignalHandler&) = delete;
+  SignalHandler& operator=(const SignalHandler&) = delete;
+
+ private:
+  void Await() {
+    this->signals.async_wait(
+        [this](const boost::system::error_code& error, int signal) {
+          if (!error) {
+            this->OnSignal(signal);
+            this->Await();
+          }
+        });
+  }
+
+  void OnSignal(int signal) {
+    if (signal == SIGHUP) {
+      this->reload();
+      return;
+    }
+    if (this->stopping) {
+      acacia::LogEvent("stopped_at_once", acacia::LogSeverity::kWarning)
+          .With("exit_code", kExitFailure);
+      acacia::StandardLog().Flush();
+      std::_Exit(kExitFailure);
+    }
+    this->stopping = true;
+    this->server.BeginStop();
+  }
+
+  boost::asio::io_context context;
+  boost::asio::signal_set signals;
+  acacia::EntryServer& server;
+  std::function<void()> reload;
+  bool stopping = false;
+  std::thread thread;
+};
 
 // The time from SIGTERM to SIGKILL that is left unused.
 constexpr std::chrono::milliseconds kKillMargin{150};
@@ -93,7 +129,24 @@
   return policy;
 }
 
-int Serve(const acacia::schema::EntrySettingsT& settings) {
+// Takes over what can change while the entry runs. A file with mistakes changes
+// nothing.
+void Reload(const std::string& file, acacia::HostControl* control) {
+  const auto settings = acacia::ReadEntrySettings(file);
+  if (!settings) {
+    acacia::LogEvent("settings_refused", acacia::LogSeverity::kError)
+        .With("file", file)
+        .With("mistakes", acacia::DescribeAll(settings.error()));
+    return;
+  }
+  acacia::LogEvent("settings_read").With("file", file);
+  if (control != nullptr) {
+    control->Reload(*settings);
+  }
+}
+
+int Serve(const std::string& file,
+          const acacia::schema::EntrySettingsT& settings) {
   const acacia::SystemClock clock;
   std::optional<acacia::HostAdapter> adapter;
   if (settings.host_platform) {
@@ -105,9 +158,6 @@
   if (adapter) {
     control.emplace(settings, *adapter, server, clock);
   }
-  boost::asio::io_context signal_context;
-  boost::asio::signal_set signals(signal_context, SIGTERM, SIGINT);
-  HandleSignals(signals, server, false);
   auto started = server.Start();
   if (started && control) {
     started = control->Start();
@@ -117,10 +167,9 @@
         .With("reason", started.error());
     return kExitFailure;
   }
-  std::thread signal_thread([&signal_context] { signal_context.run(); });
+  const SignalHandler signals(
+      server, [&] { Reload(file, control ? &*control : nullptr); });
   server.Wait();
-  signal_context.stop();
-  signal_thread.join();
   return 0;
 }
 
@@ -149,5 +198,5 @@
     return kExitUsage;
   }
   acacia::StartLogging(argv[0]);
-  return Serve(*settings);
+  return Serve(line.values["settings"].as<std::string>(), *settings);
 }
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -71,6 +71,7 @@
         const Clock& clock);
 
   tl::expected<void, std::string> Start();
+  void Reload(const schema::HostPlatformSettingsT& next);
   ServicePolicy MakePolicy() const;
   std::unique_ptr<TableFollower> Follow(const std::string& table,
                                         TableEvents events);
@@ -89,8 +90,7 @@
   HttpReply AnswerLookup(const TargetParts& target) const;
   bool IsReady() const;
 
-  const schema::EntrySettingsT settings;
-  const schema::HostPlatformSettingsT& host;
+  schema::HostPlatformSettingsT host;
   HostAdapter adapter;
   EntryServer& entry;
   const Clock& clock;
@@ -139,8 +139,7 @@
                           HostAdapter adapter,
                           EntryServer& entry,
                           const Clock& clock)
-    : settings(settings),
-      host(*this->settings.host_platform),
+    : host(*settings.host_platform),
       adapter(std::move(adapter)),
       entry(entry),
       clock(clock),
@@ -257,6 +256,27 @@
   return {};
 }
 
+void HostControl::State::Reload(const schema::HostPlatformSettingsT& next) {
+  schema::HostPlatformSettingsT merged = next;
+  const bool moved = next.store_address != this->host.store_address ||
+                     next.lookup_listen != this->host.lookup_listen ||
+                     next.ready_listen != this->host.ready_listen ||
+                     next.peer_listen != this->host.peer_listen;
+  if (moved) {
+    LogEvent("settings_need_restart", LogSeverity::kWarning)
+        .With("reason", "an address has changed");
+    merged.store_address = this->host.store_address;
+    merged.lookup_listen = this->host.lookup_listen;
+    merged.ready_listen = this->host.ready_listen;
+    merged.peer_listen = this->host.peer_listen;
+  }
+  this->host = merged;
+  LogEvent("settings_in_force")
+      .With("retry_budget_ratio", this->host.retry_budget_ratio)
+      .With("retry_budget_extra", this->host.retry_budget_extra)
+      .With("floor_share", this->host.floor_share);
+}
+
 void HostControl::State::OnConfigurationRow(const TableRow& row) {
   if (row.key != this->adapter.configuration_key || row.removed) {
     return;
@@ -499,4 +519,16 @@
   return this->state->Start();
 }
 
+void HostControl::Reload(const schema::EntrySettingsT& settings) {
+  if (!settings.host_platform) {
+    LogEvent("settings_need_restart", LogSeverity::kWarning)
+        .With("reason", "host_platform is gone");
+    return;
+  }
+  net::post(this->state->strand,
+            [state = this->state, next = *settings.host_platform] {
+              state->Reload(next);
+            });
+}
+
 }  // namespace acacia
--- a/src/host_control.h
+++ b/src/host_control.h
@@ -59,6 +59,10 @@
   // Opens the listeners and begins to follow the store.
   tl::expected<void, std::string> Start();
 
+  // Takes over the bounds of newer settings; addresses change at the next start
+  // only. Thread-safe.
+  void Reload(const schema::EntrySettingsT& settings);
+
  private:
   struct State;
   std::shared_ptr<State> state;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -1,5 +1,6 @@
 #include "src/http_client.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <optional>
@@ -20,6 +21,7 @@
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 // A connection that has gone silent is found within seconds, also while a long
 // poll waits on it.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
 constexpr Duration kUserTimeout = std::chrono::seconds(3);
 constexpr KeepAlive kShortProbes{1, 1, 2};
 constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
@@ -66,7 +68,7 @@
   }
   this->buffer.clear();
   this->stream.emplace(co_await net::this_coro::executor);
-  this->stream->expires_after(timeout);
+  this->stream->expires_after(std::min(timeout, kConnectTimeout));
   const Tcp::endpoint endpoint(to->address, to->port);
   const auto [error] = co_await this->stream->async_connect(endpoint, kAwait);
   if (error) {
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -21,7 +21,7 @@
 constexpr std::chrono::milliseconds kBatchPause{150};
 // Pauses after a failed call grow between these.
 constexpr std::chrono::milliseconds kFirstPause{100};
-constexpr std::chrono::milliseconds kLongestPause{800};
+constexpr std::chrono::milliseconds kLongestPause{500};
 
 }  // namespace
 
