Tell the entries how new each other's knowledge is, and delay no change after a short gap

Change: datagrams name the newest rows; an entry that is behind gives up its poll. Polls take 7 to 12 s. Ruled out: short polls alone (four times the calls).

--- a/src/backend_registry.cc
+++ b/src/backend_registry.cc
@@ -57,7 +57,11 @@
 }
 
 void BackendRegistry::OnStoreAvailable(bool available, TimePoint now) {
-  if (available && !this->available) {
+  if (!available && this->available) {
+    this->lost_at = now;
+  }
+  const bool outage = now - this->lost_at >= kShortestOutage;
+  if (available && !this->available && outage) {
     this->returned_at = now;
     for (auto& [name, held] : this->held) {
       if (held.gone_at) {
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -42,6 +42,9 @@
   // Registrations that lapsed in an outage are back within this time of its
   // end, if their backend server lives.
   static constexpr Duration kReturnTime = std::chrono::milliseconds(2200);
+  // A shorter time without the store lets no registration lapse: a single lost
+  // connection delays nothing.
+  static constexpr Duration kShortestOutage = std::chrono::seconds(1);
 
   struct Held {
     RegisteredBackend backend;
@@ -70,6 +73,7 @@
 
   std::map<std::string, Held> held;
   bool available = true;
+  TimePoint lost_at{};
   std::optional<TimePoint> returned_at;
   TimePoint last_timer{};
 };
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -37,11 +37,15 @@
           builder.GetSize()};
 }
 
+// `head` without outcomes.
 std::string SerializeShare(
-    const std::string& instance,
+    const schema::OutcomeShareT& head,
     const std::vector<schema::BackendEvidenceT>& evidence) {
   schema::OutcomeShareT share;
-  share.instance = instance;
+  share.instance = head.instance;
+  share.configuration_row = head.configuration_row;
+  share.registrations_row = head.registrations_row;
+  share.members_row = head.members_row;
   for (const schema::BackendEvidenceT& each : evidence) {
     share.outcomes.push_back(std::make_unique<schema::BackendEvidenceT>(each));
   }
@@ -109,7 +113,9 @@
   std::unique_ptr<RowStore> own_rows;
   // Version of this entry's own row.
   RowVersion own_row;
-  std::vector<std::unique_ptr<TableFollower>> followers;
+  std::unique_ptr<TableFollower> configurations;
+  std::unique_ptr<TableFollower> registrations;
+  std::unique_ptr<TableFollower> members;
   PeerTransport peers;
   OperatorServer lookups;
   OperatorServer readiness;
@@ -222,23 +228,25 @@
       this->OnConfigurationRow(row);
     }
   };
-  this->followers.push_back(this->Follow(
+  this->configurations = this->Follow(
       this->adapter.configuration_table,
-      {each_configuration, each_configuration, [](bool) {}}));
-  this->followers.push_back(this->Follow(
+      {each_configuration, each_configuration, [](bool) {}});
+  this->registrations = this->Follow(
       this->adapter.registrations_table,
       {[this](const TableRows& rows) { this->OnRegistrations(rows, true); },
        [this](const TableRows& rows) { this->OnRegistrations(rows, false); },
        [this](bool available) {
          this->registry.OnStoreAvailable(available, this->clock.Now());
          this->ArmTimer();
-       }}));
-  this->followers.push_back(this->Follow(
+       }});
+  this->members = this->Follow(
       this->adapter.members_table,
       {[this](const TableRows& rows) { this->OnMembers(rows, true); },
        [this](const TableRows& rows) { this->OnMembers(rows, false); },
-       [](bool) {}}));
-  for (const auto& follower : this->followers) {
+       [](bool) {}});
+  for (TableFollower* follower : {this->configurations.get(),
+                                  this->registrations.get(),
+                                  this->members.get()}) {
     follower->Start();
   }
   net::co_spawn(
@@ -429,9 +437,14 @@
   std::vector<schema::BackendEvidenceT> notable;
   std::copy_if(evidence.begin(), evidence.end(), std::back_inserter(notable),
                [](const auto& each) { return each.avoided; });
-  const std::string near = SerializeShare(this->self.instance, evidence);
+  schema::OutcomeShareT head;
+  head.instance = this->self.instance;
+  head.configuration_row = this->configurations->NewestRow().Value();
+  head.registrations_row = this->registrations->NewestRow().Value();
+  head.members_row = this->members->NewestRow().Value();
+  const std::string near = SerializeShare(head, evidence);
   const std::string distant =
-      notable.empty() ? "" : SerializeShare(this->self.instance, notable);
+      notable.empty() ? "" : SerializeShare(head, notable);
   for (const auto& [instance, member] : this->directory.Members()) {
     if (member.instance == this->self.instance) {
       continue;
@@ -454,6 +467,9 @@
   }
   schema::OutcomeShareT share;
   flatbuffers::GetRoot<schema::OutcomeShare>(data)->UnPackTo(&share);
+  this->configurations->Expect(RowVersion(share.configuration_row));
+  this->registrations->Expect(RowVersion(share.registrations_row));
+  this->members->Expect(RowVersion(share.members_row));
   std::vector<schema::BackendEvidenceT> evidence;
   for (const auto& each : share.outcomes) {
     evidence.push_back(*each);
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -87,6 +87,12 @@
 HttpClient::HttpClient(HttpClient&&) noexcept = default;
 HttpClient& HttpClient::operator=(HttpClient&&) noexcept = default;
 
+void HttpClient::Abort() {
+  if (this->state->stream) {
+    this->state->stream->close();
+  }
+}
+
 net::awaitable<tl::expected<HttpReply, HttpClientError>> HttpClient::Send(
     HttpRequest request,
     Duration timeout) {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -34,6 +34,9 @@
       HttpRequest request,
       Duration timeout);
 
+  // Closes the connection; a Send that waits ends with kNoReply.
+  void Abort();
+
  private:
   struct State;
   std::unique_ptr<State> state;
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -60,6 +60,9 @@
   virtual boost::asio::awaitable<tl::expected<TableRows, RowStoreError>>
   AwaitChanges(std::string table, RowVersion after, Duration wait) = 0;
 
+  // Gives up the call that waits, which then fails.
+  virtual void Abort() = 0;
+
   // Writes a row whatever it was before. Returns the new version.
   virtual boost::asio::awaitable<tl::expected<RowVersion, RowStoreError>> Put(
       std::string table,
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -13,9 +13,14 @@
 namespace net = boost::asio;
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
-// The store ends a wait without changes after this time. Long, because each
-// call costs; a connection that has gone silent is found by keep-alive probes.
-constexpr Duration kLongestWait = std::chrono::seconds(25);
+// The store ends a wait without changes after these times, drawn anew for each
+// call. Long, because each call costs. An entry whose answer is lost hears of
+// the change from another whose wait has ended meanwhile.
+constexpr Duration kLeastWait = std::chrono::seconds(7);
+constexpr Duration kWaitSpread = std::chrono::seconds(5);
+// After a failure the next wait is short, so that a store that takes calls and
+// answers none is found soon.
+constexpr Duration kWaitAfterFailure = std::chrono::milliseconds(600);
 // Pause between a change and the next call, so that a burst of changes costs
 // few calls. Small beside the seconds in which changes must be in force.
 constexpr std::chrono::milliseconds kBatchPause{150};
@@ -27,17 +32,23 @@
 
 struct TableFollower::State : std::enable_shared_from_this<State> {
   State(const net::any_io_executor& executor, RandomSource& random)
-      : executor(executor), timer(executor), random(random) {}
+      : executor(executor),
+        timer(executor),
+        arrival(executor),
+        random(random) {}
 
   net::awaitable<void> Run();
   net::awaitable<void> ReadWhole();
   net::awaitable<void> ReadChanges();
   net::awaitable<void> Pause(std::chrono::milliseconds duration);
   net::awaitable<void> OnFailure(RowStoreError error);
+  void GiveUpWait();
+  void NoteRows(const TableRows& rows);
   void SetAvailable(bool now_available);
 
   net::any_io_executor executor;
   net::steady_timer timer;
+  net::steady_timer arrival;
   RandomSource& random;
   std::string table;
   std::unique_ptr<RowStore> store;
@@ -45,6 +56,10 @@
   // Nothing has been read yet, or the history has a gap.
   bool needs_whole = true;
   std::optional<RowVersion> version;
+  RowVersion newest_row;
+  // The newest version that others know of.
+  RowVersion expected;
+  bool given_up = false;
   std::optional<bool> available;
   std::chrono::milliseconds failure_pause = kFirstPause;
   bool stopped = false;
@@ -81,15 +96,25 @@
   this->needs_whole = false;
   this->version = rows->version;
   this->failure_pause = kFirstPause;
+  this->NoteRows(*rows);
   this->events.on_whole(*rows);
 }
 
 net::awaitable<void> TableFollower::State::ReadChanges() {
+  const Duration wait =
+      this->available == false
+          ? kWaitAfterFailure
+          : kLeastWait + std::chrono::duration_cast<Duration>(
+                             kWaitSpread * this->random.Fraction());
   const auto changes = co_await this->store->AwaitChanges(
-      this->table, *this->version, kLongestWait);
+      this->table, *this->version, wait);
   if (this->stopped) {
     co_return;
   }
+  if (!changes && std::exchange(this->given_up, false)) {
+    this->needs_whole = true;
+    co_return;
+  }
   if (!changes) {
     co_await this->OnFailure(changes.error());
     co_return;
@@ -102,6 +127,7 @@
     co_return;
   }
   this->version = changes->version;
+  this->NoteRows(*changes);
   if (!changes->rows.empty()) {
     this->events.on_changes(*changes);
     co_await this->Pause(kBatchPause);
@@ -129,6 +155,27 @@
   co_await this->Pause(pause);
 }
 
+void TableFollower::State::NoteRows(const TableRows& rows) {
+  for (const TableRow& row : rows.rows) {
+    this->newest_row = std::max(this->newest_row, row.version,
+                                [](auto a, auto b) { return a < b; });
+  }
+}
+
+// Another entry knows of a change that has not arrived here.
+void TableFollower::State::GiveUpWait() {
+  if (this->version && this->expected <= *this->version) {
+    return;
+  }
+  LogEvent("table_behind", LogSeverity::kWarning)
+      .With("table", this->table)
+      .With("version", this->version.value_or(RowVersion()))
+      .With("others_know", this->expected);
+  this->given_up = true;
+  this->store->Abort();
+  this->timer.cancel();
+}
+
 void TableFollower::State::SetAvailable(bool now_available) {
   if (this->available == now_available) {
     return;
@@ -173,10 +220,33 @@
 void TableFollower::Stop() {
   this->state->stopped = true;
   this->state->timer.cancel();
+  this->state->arrival.cancel();
+  this->state->store->Abort();
 }
 
-void TableFollower::Hurry() {
-  this->state->timer.cancel();
+void TableFollower::Expect(RowVersion version) {
+  State& state = *this->state;
+  const bool known = state.version && version <= *state.version;
+  if (known || version <= state.expected) {
+    return;
+  }
+  state.expected = version;
+  state.arrival.expires_after(kArrivalTime);
+  state.arrival.async_wait([weak = std::weak_ptr<State>(this->state)](
+                               const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (self && !error) {
+      self->GiveUpWait();
+    }
+  });
+}
+
+RowVersion TableFollower::Version() const {
+  return this->state->version.value_or(RowVersion());
+}
+
+RowVersion TableFollower::NewestRow() const {
+  return this->state->newest_row;
 }
 
 }  // namespace acacia
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -37,8 +37,15 @@
 
   void Start();
   void Stop();
-  // Asks again at once instead of at the end of a pause.
-  void Hurry();
+  // A change of this version exists. Unless it arrives within kArrivalTime, the
+  // call that waits is given up and the store is asked again.
+  void Expect(RowVersion version);
+  // Up to which version of the store the table is known.
+  RowVersion Version() const;
+  // The newest row that was seen.
+  RowVersion NewestRow() const;
+
+  static constexpr std::chrono::milliseconds kArrivalTime{250};
 
  private:
   struct State;
