--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -52,8 +52,8 @@
   return line;
 }
 
-// SIGTERM and SIGINT start the graceful shutdown, a second one ends the process.
-// SIGHUP reads the settings again.
+// SIGTERM and SIGINT start the graceful shutdown, a second one ends the
+// process. SIGHUP reads the settings again.
 class SignalHandler {
  public:
   SignalHandler(acacia::EntryServer& server, std::function<void()> reload)
@@ -152,8 +152,8 @@
   if (settings.host_platform) {
     adapter = acacia::platform::MakeHostAdapter(*settings.host_platform);
   }
-  acacia::EntryServer server(settings, clock,
-                             MakePolicy(settings, adapter ? &*adapter : nullptr));
+  acacia::EntryServer server(
+      settings, clock, MakePolicy(settings, adapter ? &*adapter : nullptr));
   std::optional<acacia::HostControl> control;
   if (adapter) {
     control.emplace(settings, *adapter, server, clock);
--- a/src/backend_pool.cc
+++ b/src/backend_pool.cc
@@ -245,7 +245,8 @@
 // again: one that may be tried elsewhere.
 PooledBackend* BackendPool::PickTrickle(const PickRequest& request,
                                         TimePoint now) {
-  if (!request.work.idempotent || request.work.work_class != WorkClass::kShort ||
+  if (!request.work.idempotent ||
+      request.work.work_class != WorkClass::kShort ||
       !request.excluded.empty()) {
     return nullptr;
   }
@@ -407,7 +408,8 @@
     case AttemptResult::kSuccess: {
       backend.limit.OnAnswer(backend.InFlight(), now);
       const std::optional<Duration> slow = this->SlowAfter(attempt.work);
-      this->health.AddLatency(backend.health, attempt.work.work_class, latency, now);
+      this->health.AddLatency(backend.health, attempt.work.work_class, latency,
+                              now);
       if (attempt.was_overdue) {
         return;
       }
--- a/src/backend_registry.cc
+++ b/src/backend_registry.cc
@@ -34,10 +34,9 @@
   }
   Held& held = this->held[name];
   const bool same = held.backend.id == backend->id;
-  const TimePoint cold_until = now + backend->cold_left;
-  held.cold_until = same && held.cold_until > TimePoint{}
-                        ? std::min(held.cold_until, cold_until)
-                        : cold_until;
+  const bool cold = backend->cold_left > Duration{};
+  const TimePoint cold_until = cold ? now + backend->cold_left : TimePoint{};
+  held.cold_until = same ? std::min(held.cold_until, cold_until) : cold_until;
   held.backend = *backend;
   held.gone_at.reset();
 }
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -35,10 +35,11 @@
         std::unique_ptr<RandomSource> source,
         const ChooserFactory& make_chooser)
       : random(std::move(source)),
-        pool(make_chooser ? make_chooser(service, self, *this->random)
-                          : std::make_unique<BackendPool>(service,
-                                                          self,
-                                                          *this->random)) {}
+        pool(
+            make_chooser
+                ? make_chooser(service, self, *this->random)
+                : std::make_unique<BackendPool>(service, self, *this->random)) {
+  }
 
   RequestState* Find(RequestId request);
   bool Admit(const Work& work, TimePoint now);
@@ -103,9 +104,8 @@
 
 void Dispatcher::State::Enqueue(RequestState& request, TimePoint now) {
   const Work& work = request.work;
-  const WaitingRequest waiting{
-      work.request, work.account, work.work_class,
-      work.deadline - this->pool->MedianLatency(work)};
+  const WaitingRequest waiting{work.request, work.account, work.work_class,
+                               work.deadline - this->pool->MedianLatency(work)};
   const std::optional<RequestId> shed = this->queue.Push(waiting, now);
   if (shed) {
     this->Refuse(*shed, ErrorKind::kQueueFull);
@@ -113,7 +113,8 @@
 }
 
 bool Dispatcher::State::TryStart(RequestState& request, TimePoint now) {
-  PooledBackend* backend = this->pool->Pick({request.work, request.failed}, now);
+  PooledBackend* backend =
+      this->pool->Pick({request.work, request.failed}, now);
   if (backend == nullptr) {
     return false;
   }
@@ -134,10 +135,9 @@
   request.running.push_back(attempt);
   this->pool->OnStart(backend, work, now);
   this->by_deadline.emplace(work.deadline, work.request);
-  this->actions.push_back(StartAttempt{work.request, request.last_attempt,
-                                       backend.server.id, !work.idempotent,
-                                       backend.server.address,
-                                       backend.server.expected_instance});
+  this->actions.push_back(StartAttempt{
+      work.request, request.last_attempt, backend.server.id, !work.idempotent,
+      backend.server.address, backend.server.expected_instance});
 }
 
 void Dispatcher::State::Pump(TimePoint now) {
@@ -311,8 +311,7 @@
     RunningAttempt& attempt = *request.FindAttempt(attempt_id);
     this->ForgetOverdue(request, attempt);
     attempt.was_overdue = true;
-    this->pool->OnOverdue(*attempt.backend, request.work, attempt.started,
-                          now);
+    this->pool->OnOverdue(*attempt.backend, request.work, attempt.started, now);
     this->Hedge(request, now);
   }
 }
@@ -329,8 +328,7 @@
   }
   std::vector<BackendId> excluded = request.failed;
   excluded.push_back(request.running.front().backend->server.id);
-  PooledBackend* backend =
-      this->pool->Pick({work, excluded}, now);
+  PooledBackend* backend = this->pool->Pick({work, excluded}, now);
   if (backend != nullptr && this->SpendRetry(now)) {
     this->StartOn(request, *backend, now);
   }
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -184,9 +184,8 @@
 void EntryServer::State::PutInForce(std::shared_ptr<const Configuration> next) {
   const std::lock_guard lock(this->mutex);
   const Generation generation = next->generation;
-  const Generation current = this->configuration
-                                 ? this->configuration->generation
-                                 : Generation();
+  const Generation current =
+      this->configuration ? this->configuration->generation : Generation();
   if (generation < current) {
     LogEvent("configuration_refused", LogSeverity::kWarning)
         .With("generation", generation)
@@ -377,8 +376,8 @@
     return this->policy.longest_stop > Duration{} &&
            this->clock.Now() - began >= this->policy.longest_stop;
   };
-  for (int round = 0;
-       this->context.connections.load() > 0 && !out_of_time(); ++round) {
+  for (int round = 0; this->context.connections.load() > 0 && !out_of_time();
+       ++round) {
     if (round >= kIdleRoundsBeforeClose) {
       this->callers.CloseIdle();
     }
--- a/src/entry_snapshot.cc
+++ b/src/entry_snapshot.cc
@@ -41,9 +41,9 @@
     const BackendId id(from->id.empty() ? from->address : from->id);
     const std::uint32_t slots =
         from->slots != 0 ? from->slots : view.policy.slots_per_backend_server;
-    view.backend_servers.push_back(
-        {id, FailureDomain(from->failure_domain), slots, from->address,
-         from->expected_instance});
+    view.backend_servers.push_back({id, FailureDomain(from->failure_domain),
+                                    slots, from->address,
+                                    from->expected_instance});
     if (from->cold) {
       view.cold.insert(id);
     }
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -17,7 +17,7 @@
 constexpr double kLeastTrusted = 0.4;
 // Drawn at random, of which the least loaded is taken. Few, so that entries
 // with the same news do not all choose the same one.
-constexpr int kDraws = 3;
+constexpr std::size_t kDraws = 3;
 // In units of a full set of slots: what a backend server in another failure
 // domain, or one that is cold, costs more.
 constexpr double kDistantCost = 0.6;
@@ -118,12 +118,10 @@
 
 FleetPool::Candidates FleetPool::Trusted(Candidates usable,
                                          TimePoint now) const {
-  const auto trusted_end =
-      std::stable_partition(usable.begin(), usable.end(), [now](auto* each) {
-        return !each->shared.IsSuspect(now);
-      });
-  const auto trusted =
-      static_cast<std::size_t>(trusted_end - usable.begin());
+  const auto trusted_end = std::stable_partition(
+      usable.begin(), usable.end(),
+      [now](auto* each) { return !each->shared.IsSuspect(now); });
+  const auto trusted = static_cast<std::size_t>(trusted_end - usable.begin());
   const auto least = static_cast<std::size_t>(
       std::ceil(kLeastTrusted * static_cast<double>(usable.size())));
   if (trusted < least) {
@@ -167,8 +165,10 @@
   FleetBackend* best = nullptr;
   double best_cost = 0;
   for (const Candidates* group : {&near, &distant}) {
-    for (int i = 0; i < kDraws && !group->empty(); ++i) {
-      FleetBackend* drawn = (*group)[this->random.Below(group->size())];
+    const bool all = group->size() <= kDraws;
+    for (std::size_t i = 0; i < std::min(kDraws, group->size()); ++i) {
+      FleetBackend* drawn =
+          (*group)[all ? i : this->random.Below(group->size())];
       const double cost = this->Cost(*drawn, work, now);
       if (best == nullptr || cost < best_cost) {
         best = drawn;
@@ -348,9 +348,9 @@
   for (const FleetBackend* backend : this->listed) {
     std::ostringstream line;
     line << backend->server.id.Value() << " "
-         << (backend->leaving                  ? "leaving"
+         << (backend->leaving                 ? "leaving"
              : backend->shared.IsSuspect(now) ? "suspect"
-                                               : "in service")
+                                              : "in service")
          << " suspicion=" << backend->shared.Suspicion(now)
          << " in_flight=" << backend->InFlight()
          << " reported=" << backend->reported.running << ","
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -228,9 +228,9 @@
       this->OnConfigurationRow(row);
     }
   };
-  this->configurations = this->Follow(
-      this->adapter.configuration_table,
-      {each_configuration, each_configuration, [](bool) {}});
+  this->configurations =
+      this->Follow(this->adapter.configuration_table,
+                   {each_configuration, each_configuration, [](bool) {}});
   this->registrations = this->Follow(
       this->adapter.registrations_table,
       {[this](const TableRows& rows) { this->OnRegistrations(rows, true); },
@@ -244,9 +244,9 @@
       {[this](const TableRows& rows) { this->OnMembers(rows, true); },
        [this](const TableRows& rows) { this->OnMembers(rows, false); },
        [](bool) {}});
-  for (TableFollower* follower : {this->configurations.get(),
-                                  this->registrations.get(),
-                                  this->members.get()}) {
+  for (TableFollower* follower :
+       {this->configurations.get(), this->registrations.get(),
+        this->members.get()}) {
     follower->Start();
   }
   net::co_spawn(
@@ -363,10 +363,10 @@
   this->registry.OnTimer(now);
   auto fleet = std::make_unique<schema::FleetUpdateT>();
   fleet->sequence = ++this->sequence;
-  fleet->fleet_size = this->members_read
-                          ? static_cast<std::uint32_t>(
-                                this->directory.Members().size())
-                          : kAssumedMembers;
+  fleet->fleet_size =
+      this->members_read
+          ? static_cast<std::uint32_t>(this->directory.Members().size())
+          : kAssumedMembers;
   for (const auto& [instance, member] : this->directory.Members()) {
     auto copy = std::make_unique<schema::FleetMemberT>();
     copy->instance = member.instance;
@@ -409,13 +409,13 @@
     return;
   }
   this->timer.expires_at(*next);
-  this->timer.async_wait([weak = this->weak_from_this()](
-                             const boost::system::error_code& error) {
-    const auto self = weak.lock();
-    if (self && !error) {
-      self->UpdateFleet();
-    }
-  });
+  this->timer.async_wait(
+      [weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (self && !error) {
+          self->UpdateFleet();
+        }
+      });
 }
 
 net::awaitable<void> HostControl::State::ShareOutcomes() {
@@ -518,10 +518,8 @@
                          HostAdapter adapter,
                          EntryServer& entry,
                          const Clock& clock)
-    : state(std::make_shared<State>(settings,
-                                    std::move(adapter),
-                                    entry,
-                                    clock)) {
+    : state(
+          std::make_shared<State>(settings, std::move(adapter), entry, clock)) {
   entry.OnStop([weak = std::weak_ptr<State>(this->state)] {
     if (const auto self = weak.lock()) {
       net::post(self->strand, [self] { self->OnStop(); });
--- a/src/member_directory.cc
+++ b/src/member_directory.cc
@@ -55,8 +55,7 @@
       near.push_back(member.caller_address);
     }
   }
-  std::vector<std::string>& chosen =
-      near.size() >= kLeastInDomain ? near : all;
+  std::vector<std::string>& chosen = near.size() >= kLeastInDomain ? near : all;
   chosen.resize(std::min(chosen.size(), kMostAddresses));
   return chosen;
 }
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -47,8 +47,7 @@
     }
     const int status = static_cast<int>(this->parser->get().result_int());
     if (status >= kFirstFinalStatus && this->IsForeign()) {
-      const bool next =
-          skipped < kMostSkipped && (co_await this->SkipAnswer());
+      const bool next = skipped < kMostSkipped && (co_await this->SkipAnswer());
       if (!next) {
         co_return this->Failed(AttemptResult::kMismatched);
       }
@@ -210,9 +209,9 @@
   answer.version(11);
   // Without a length the answer ends with the connection.
   const bool whole = this->buffered_body && this->parser->is_done();
-  this->ends_with_close =
-      !this->has_no_body && !whole && (this->parser->need_eof() ||
-                             (chunked && this->exchange.caller_is_http10));
+  this->ends_with_close = !this->has_no_body && !whole &&
+                          (this->parser->need_eof() ||
+                           (chunked && this->exchange.caller_is_http10));
   if (chunked && !whole && !this->exchange.caller_is_http10) {
     answer.set(http::field::transfer_encoding, "chunked");
   }
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -185,9 +185,9 @@
 }
 
 net::awaitable<bool> ProxyAttempt::OpenConnection() {
-  const auto address = ParseSocketAddress(
-      this->start.address.empty() ? this->start.backend.Value()
-                                  : this->start.address);
+  const auto address = ParseSocketAddress(this->start.address.empty()
+                                              ? this->start.backend.Value()
+                                              : this->start.address);
   if (!address) {
     co_return false;
   }
--- a/src/proxy_session.cc
+++ b/src/proxy_session.cc
@@ -291,9 +291,9 @@
 net::awaitable<std::optional<ErrorKind>> ProxySession::BufferBody() {
   Exchange& request = *this->exchange;
   std::vector<char> space;
-  while (!request.body_read && request.prefix.size() < request.replayable_bytes) {
-    space.resize(
-        std::min(kDiscardBytes,
+  while (!request.body_read &&
+         request.prefix.size() < request.replayable_bytes) {
+    space.resize(std::min(kDiscardBytes,
                           request.replayable_bytes - request.prefix.size()));
     this->ExpectCaller(true);
     const auto read = co_await this->caller.ReadBody(net::buffer(space));
@@ -427,9 +427,9 @@
   const ErrorAnswer& answer = AnswerFor(kind);
   const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->context.clock.Now() - this->began);
-  LogEvent(answer.outcome == Outcome::kNotRun ? "request_refused"
-                                              : "request_failed",
-           LogSeverity::kWarning)
+  LogEvent(
+      answer.outcome == Outcome::kNotRun ? "request_refused" : "request_failed",
+      LogSeverity::kWarning)
       .With("request", this->LoggedId())
       .With("service", this->service_name)
       .With("route", this->exchange ? this->exchange->work.latency_key : "")
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -64,10 +64,8 @@
   virtual void Abort() = 0;
 
   // Writes a row whatever it was before. Returns the new version.
-  virtual boost::asio::awaitable<tl::expected<RowVersion, RowStoreError>> Put(
-      std::string table,
-      std::string key,
-      std::string value) = 0;
+  virtual boost::asio::awaitable<tl::expected<RowVersion, RowStoreError>>
+  Put(std::string table, std::string key, std::string value) = 0;
 
   // Removes a row that still has the version; so one that is carried out late
   // spares what was written since.
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -106,8 +106,8 @@
           ? kWaitAfterFailure
           : kLeastWait + std::chrono::duration_cast<Duration>(
                              kWaitSpread * this->random.Fraction());
-  const auto changes = co_await this->store->AwaitChanges(
-      this->table, *this->version, wait);
+  const auto changes =
+      co_await this->store->AwaitChanges(this->table, *this->version, wait);
   if (this->stopped) {
     co_return;
   }
--- /dev/null
+++ b/test/correctness/backend_registry_test.cc
@@ -0,0 +1,108 @@
+#include "src/backend_registry.h"
+
+#include <catch2/catch.hpp>
+
+namespace acacia {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct RegistryFixture {
+  RegistryFixture() { this->Put("a"); }
+
+  static RegisteredBackend Backend(const std::string& name,
+                                   const std::string& start = "1") {
+    RegisteredBackend backend;
+    backend.id = BackendId(name + "@" + start);
+    backend.service = ServiceName("kehto");
+    backend.server.id = backend.id;
+    return backend;
+  }
+  void Put(const std::string& name) {
+    this->registry.Put(name, Backend(name), this->now);
+  }
+  void Outage(Duration length) {
+    this->registry.OnStoreAvailable(false, this->now);
+    this->now += length;
+    this->registry.OnStoreAvailable(true, this->now);
+  }
+  bool Has(const std::string& name) {
+    this->registry.OnTimer(this->now);
+    return this->registry.Backends().contains(name);
+  }
+
+  BackendRegistry registry;
+  TimePoint now{seconds(1000)};
+};
+
+TEST_CASE("a registration that goes while the store is there is gone at once") {
+  RegistryFixture f;
+  f.registry.Remove("a", f.now);
+  CHECK_FALSE(f.Has("a"));
+}
+
+TEST_CASE("what lapsed in an outage stays until it had time to return") {
+  RegistryFixture f;
+  f.Outage(seconds(5));
+  f.registry.Remove("a", f.now);
+  f.now += seconds(2);
+  CHECK(f.Has("a"));
+  f.now += milliseconds(300);
+  CHECK_FALSE(f.Has("a"));
+}
+
+TEST_CASE("what lapsed in an outage and returned stays") {
+  RegistryFixture f;
+  f.Outage(seconds(5));
+  f.registry.Replace({}, f.now);
+  f.now += seconds(1);
+  f.Put("a");
+  f.now += seconds(5);
+  CHECK(f.Has("a"));
+}
+
+TEST_CASE("a connection lost for a moment delays no removal") {
+  RegistryFixture f;
+  f.Outage(milliseconds(900));
+  f.registry.Remove("a", f.now);
+  CHECK_FALSE(f.Has("a"));
+}
+
+TEST_CASE("one that was leaving is gone also in an outage") {
+  RegistryFixture f;
+  RegisteredBackend leaving = RegistryFixture::Backend("a");
+  leaving.leaving = true;
+  f.registry.Put("a", leaving, f.now);
+  f.Outage(seconds(5));
+  f.registry.Remove("a", f.now);
+  CHECK_FALSE(f.Has("a"));
+}
+
+TEST_CASE("a registration that cannot be read names nothing, others hold") {
+  RegistryFixture f;
+  f.Put("b");
+  f.registry.Put("a", std::nullopt, f.now);
+  CHECK_FALSE(f.Has("a"));
+  CHECK(f.Has("b"));
+}
+
+TEST_CASE("a new incarnation of a name is cold anew, an old one is not") {
+  RegistryFixture f;
+  RegisteredBackend cold = RegistryFixture::Backend("c");
+  cold.cold_left = seconds(3);
+  f.registry.Put("c", cold, f.now);
+  const TimePoint first = f.registry.Backends().at("c").cold_until;
+  CHECK(first == f.now + seconds(3));
+  f.now += seconds(2);
+  f.registry.Put("c", cold, f.now);
+  CHECK(f.registry.Backends().at("c").cold_until == first);
+  RegisteredBackend reborn = RegistryFixture::Backend("c", "2");
+  reborn.cold_left = seconds(3);
+  f.registry.Put("c", reborn, f.now);
+  CHECK(f.registry.Backends().at("c").cold_until == f.now + seconds(3));
+  CHECK(f.registry.NextTimer() == f.now + seconds(3));
+}
+
+}  // namespace
+}  // namespace acacia
--- /dev/null
+++ b/test/correctness/fleet_pool_test.cc
@@ -0,0 +1,157 @@
+#include "src/fleet_pool.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+namespace acacia {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Six backend servers, half of them in this entry's own failure domain.
+struct PoolFixture {
+  PoolFixture() {
+    for (int i = 0; i < 6; ++i) {
+      BackendServer server;
+      server.id = Id(i);
+      server.failure_domain = FailureDomain(i < 3 ? "near" : "far");
+      server.slots = 4;
+      this->view.backend_servers.push_back(server);
+    }
+    this->pool.Apply(this->view, this->now);
+  }
+
+  static BackendId Id(int i) { return BackendId("b" + std::to_string(i)); }
+
+  Work MakeWork(bool idempotent) const {
+    Work work;
+    work.idempotent = idempotent;
+    work.latency_key = "route";
+    work.target_latency = seconds(1);
+    return work;
+  }
+  PooledBackend* Pick(bool idempotent) {
+    const Work work = this->MakeWork(idempotent);
+    return this->pool.Pick({work, this->excluded}, this->now);
+  }
+  // Where many requests go that may run only once.
+  std::set<BackendId> UsedByUnsafe() {
+    std::set<BackendId> used;
+    for (int i = 0; i < 200; ++i) {
+      used.insert(this->Pick(false)->server.id);
+    }
+    return used;
+  }
+  void Tell(int backend, std::uint32_t good, std::uint32_t failures) {
+    schema::BackendEvidenceT evidence;
+    evidence.id = Id(backend).Value();
+    evidence.good = good;
+    evidence.failures = failures;
+    this->pool.OnFleetEvidence({evidence}, this->now);
+  }
+
+  SeededRandom random{7};
+  FleetPool pool{ServiceName("s"), FailureDomain("near"), random};
+  ServiceView view;
+  std::vector<BackendId> excluded;
+  TimePoint now{seconds(1000)};
+};
+
+TEST_CASE("work goes to the own failure domain while it has room") {
+  PoolFixture f;
+  CHECK(f.UsedByUnsafe() == std::set<BackendId>{f.Id(0), f.Id(1), f.Id(2)});
+}
+
+TEST_CASE("a full failure domain spills to others") {
+  PoolFixture f;
+  for (int i = 0; i < 3; ++i) {
+    for (PooledBackend* each = nullptr; each == nullptr;) {
+      PooledBackend* picked = f.Pick(false);
+      each = picked->server.id == f.Id(i) ? picked : nullptr;
+      if (each != nullptr) {
+        f.pool.OnReportedLoad(*each, {4, 4, 4}, f.now);
+      }
+      f.now += milliseconds(each == nullptr ? 1 : 0);
+    }
+  }
+  const auto used = f.UsedByUnsafe();
+  CHECK(std::any_of(used.begin(), used.end(),
+                    [&](const BackendId& id) { return id == f.Id(4); }));
+}
+
+TEST_CASE("what one entry saw keeps unsafe work of all others away") {
+  PoolFixture f;
+  f.Tell(1, 0, 1);
+  CHECK_FALSE(f.UsedByUnsafe().contains(f.Id(1)));
+  f.now += seconds(1);
+  CHECK_FALSE(f.UsedByUnsafe().contains(f.Id(1)));
+}
+
+TEST_CASE("idempotent work probes a suspect, and its good answers clear it") {
+  PoolFixture f;
+  f.Tell(1, 0, 1);
+  f.now += seconds(4);
+  CHECK(f.Pick(true)->server.id == f.Id(1));
+  // One probe at a time.
+  CHECK_FALSE(f.Pick(true)->server.id == f.Id(1));
+  f.Tell(1, 2, 0);
+  CHECK(f.UsedByUnsafe().contains(f.Id(1)));
+}
+
+TEST_CASE("a retry is no probe") {
+  PoolFixture f;
+  f.Tell(1, 0, 1);
+  f.now += seconds(4);
+  f.excluded = {f.Id(0)};
+  CHECK_FALSE(f.Pick(true)->server.id == f.Id(1));
+}
+
+TEST_CASE("when nearly all are suspect, the least suspect ones are used") {
+  PoolFixture f;
+  for (int i = 0; i < 6; ++i) {
+    f.Tell(i, 0, i == 4 || i == 5 ? 1 : 3);
+  }
+  const auto used = f.UsedByUnsafe();
+  CHECK(used.size() >= 2);
+  CHECK(used.contains(f.Id(4)));
+  CHECK(used.contains(f.Id(5)));
+}
+
+TEST_CASE("leaving and cold ones") {
+  PoolFixture f;
+  f.view.leaving.insert(f.Id(0));
+  f.view.cold.insert(f.Id(1));
+  f.pool.Apply(f.view, f.now);
+  CHECK(f.UsedByUnsafe() == std::set<BackendId>{f.Id(2)});
+}
+
+TEST_CASE("outcomes are told once, and those of suspects to all") {
+  PoolFixture f;
+  PooledBackend* backend = f.Pick(false);
+  const Work work = f.MakeWork(false);
+  f.pool.OnStart(*backend, work, f.now);
+  f.pool.OnOutcome(*backend, {work, AttemptResult::kBroken, f.now}, f.now);
+  f.pool.OnRelease(*backend, work, false);
+  const auto evidence = f.pool.TakeEvidence();
+  REQUIRE(evidence.size() == 1);
+  CHECK(evidence[0].failures == 1);
+  CHECK(evidence[0].avoided);
+  CHECK(f.pool.TakeEvidence().empty());
+}
+
+TEST_CASE("an answer is late by the route's usual time") {
+  PoolFixture f;
+  const Work work = f.MakeWork(true);
+  CHECK(f.pool.SlowAfter(work) == milliseconds(600));
+  PooledBackend* backend = f.Pick(true);
+  for (int i = 0; i < 8; ++i) {
+    f.pool.OnOutcome(*backend,
+                     {work, AttemptResult::kSuccess, f.now - milliseconds(160)},
+                     f.now);
+  }
+  CHECK(f.pool.SlowAfter(work) == milliseconds(400));
+}
+
+}  // namespace
+}  // namespace acacia
--- /dev/null
+++ b/test/correctness/table_follower_test.cc
@@ -0,0 +1,177 @@
+// The follower and the adapter's store client against a scripted store.
+#include "src/table_follower.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "platform/store_client.h"
+#include "src/base64.h"
+#include "src/http_server.h"
+#include "src/random_source.h"
+#include "test/io_fixture.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+
+std::string RowsJson(std::uint64_t version, const std::string& rows) {
+  return R"({"rows":[)" + rows + R"(],"ver":)" + std::to_string(version) +
+         R"(,"hasMore":false,"nowS":1.5})";
+}
+
+std::string RowJson(const std::string& key, std::uint64_t version) {
+  return R"({"table":"t","part":"","key":")" + key + R"(","value":")" +
+         EncodeBase64("value of " + key) + R"(","ver":)" +
+         std::to_string(version) + "}";
+}
+
+// Answers calls in order; further ones are never answered.
+struct FollowerFixture {
+  FollowerFixture()
+      : server(context.get_executor(), [this](HttpRequest request) {
+          return this->Answer(std::move(request));
+        }) {
+    REQUIRE(this->server.Listen("127.0.0.1:0"));
+  }
+
+  net::awaitable<HttpReply> Answer(HttpRequest request) {
+    this->calls.push_back(request);
+    if (this->script.empty()) {
+      net::steady_timer forever(this->context, std::chrono::hours(1));
+      co_await forever.async_wait(net::as_tuple(net::use_awaitable));
+    }
+    HttpReply reply;
+    if (!this->script.empty()) {
+      reply = this->script.front();
+      this->script.pop_front();
+    }
+    co_return reply;
+  }
+
+  void Script(int status, const std::string& body) {
+    HttpReply reply;
+    reply.status = status;
+    reply.body = body;
+    this->script.push_back(reply);
+  }
+  void ScriptDrop() {
+    HttpReply reply;
+    reply.drop = true;
+    this->script.push_back(reply);
+  }
+
+  std::unique_ptr<RowStore> Store() const {
+    return std::make_unique<platform::StoreClient>(
+        "127.0.0.1:" + std::to_string(this->server.Port()));
+  }
+
+  void Follow() {
+    this->follower = std::make_unique<TableFollower>(
+        this->context.get_executor(), "t", this->Store(),
+        TableEvents{
+            [this](const TableRows& rows) { this->wholes.push_back(rows); },
+            [this](const TableRows& rows) { this->changes.push_back(rows); },
+            [this](bool available) { this->available.push_back(available); }},
+        this->random);
+    this->follower->Start();
+  }
+  void AwaitCalls(std::size_t count) {
+    RunUntil(this->context, [&] { return this->calls.size() >= count; });
+  }
+
+  net::io_context context;
+  SeededRandom random{1};
+  std::deque<HttpReply> script;
+  std::vector<HttpRequest> calls;
+  HttpServer server;
+  std::unique_ptr<TableFollower> follower;
+  std::vector<TableRows> wholes;
+  std::vector<TableRows> changes;
+  std::vector<bool> available;
+};
+
+TEST_CASE("a table is read whole, then its changes from that version on") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Script(200, RowsJson(9, R"({"key":"a","ver":9,"tombstone":true})"));
+  f.Follow();
+  f.AwaitCalls(3);
+  REQUIRE(f.wholes.size() == 1);
+  REQUIRE(f.wholes[0].rows.size() == 1);
+  CHECK(f.wholes[0].rows[0].value == "value of a");
+  REQUIRE(f.changes.size() == 1);
+  CHECK(f.changes[0].rows[0].removed);
+  CHECK(f.calls[1].target.find("after=7&") != std::string::npos);
+  CHECK(f.calls[2].target.find("after=9&") != std::string::npos);
+  CHECK(f.follower->NewestRow() == RowVersion(9));
+}
+
+TEST_CASE("after a gap in the history only a reading as new as before counts") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Script(410, "");
+  f.Script(200, RowsJson(6, RowJson("old", 4)));
+  f.Script(200, RowsJson(8, RowJson("new", 8)));
+  f.Follow();
+  f.AwaitCalls(5);
+  REQUIRE(f.wholes.size() == 2);
+  CHECK(f.wholes[1].rows[0].key == "new");
+}
+
+TEST_CASE("a store that refuses, or whose answer is lost, is asked again") {
+  FollowerFixture f;
+  f.Script(503, "");
+  f.Script(429, "");
+  f.ScriptDrop();
+  f.Script(200, "not json");
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Follow();
+  f.AwaitCalls(6);
+  CHECK(f.wholes.size() == 1);
+  CHECK(f.available == std::vector<bool>{false, true});
+}
+
+TEST_CASE("a poll whose answer was lost is given up when others know more") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Follow();
+  f.AwaitCalls(2);
+  f.Script(200, RowsJson(9, RowJson("b", 9)));
+  f.follower->Expect(RowVersion(9));
+  f.AwaitCalls(4);
+  REQUIRE(f.wholes.size() == 2);
+  CHECK(f.wholes[1].rows[0].key == "b");
+  CHECK(f.follower->Version() == RowVersion(9));
+}
+
+TEST_CASE("what is known already is not waited for") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Follow();
+  f.AwaitCalls(2);
+  f.follower->Expect(RowVersion(7));
+  f.context.restart();
+  f.context.run_for(2 * TableFollower::kArrivalTime);
+  CHECK(f.calls.size() == 2);
+}
+
+TEST_CASE("a row is removed only in the version that was written") {
+  FollowerFixture f;
+  f.Script(200, R"({"ver":12,"nowS":1})");
+  f.Script(412, R"({"rows":[]})");
+  const auto store = f.Store();
+  const auto written =
+      RunAwaitable(f.context, store->Put("t", "me", "where I am"));
+  REQUIRE(written);
+  CHECK(*written == RowVersion(12));
+  CHECK(f.calls[0].body.find(EncodeBase64("where I am")) != std::string::npos);
+  const auto removed =
+      RunAwaitable(f.context, store->Remove("t", "me", *written));
+  REQUIRE_FALSE(removed);
+  CHECK(removed.error() == RowStoreError::kConflict);
+  CHECK(f.calls[1].body.find(R"("ver":12)") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace acacia
--- /dev/null
+++ b/test/error/host_proxy_test.cc
@@ -0,0 +1,177 @@
+// An entry that speaks the host platform's dialect, before a backend server
+// that misbehaves.
+#include "platform/host_dialect.h"
+#include "src/fleet_pool.h"
+#include "test/proxy_fixture.h"
+
+namespace acacia {
+namespace {
+
+constexpr char kGet[] =
+    "GET /b/x HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+    "X-Acaciaswitch-Deadline-Ms: 5000\r\n\r\n";
+constexpr char kPost[] =
+    "POST /b/x HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+    "X-Acaciaswitch-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi";
+
+std::string Signed(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nX-Acaciaswitch-Request-Id: " + id +
+         "\r\nX-Acaciaswitch-Response-Signature: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+int StatusOf(const std::string& answer) {
+  return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+}
+
+// Two names for one backend server, so that there is somewhere to retry.
+class HostFixture : public ProxyFixture {
+ public:
+  explicit HostFixture(BackendScript script) : ProxyFixture(std::move(script)) {
+    this->settings.buffered_answer_bytes = 65536;
+    EntryPolicy policy;
+    policy.dialect = platform::HostDialect();
+    policy.make_chooser = [](const ServiceName& service, const InstanceId&,
+                             RandomSource& random) {
+      return std::make_unique<FleetPool>(service, FailureDomain("a"), random);
+    };
+    this->settings.agent_address.clear();
+    this->entry = std::make_unique<EntryServer>(this->settings, this->clock,
+                                                std::move(policy));
+    REQUIRE(this->entry->Start());
+    this->Apply();
+  }
+
+  void Apply() {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->generation = Generation(3);
+    acacia::Service service;
+    service.name = ServiceName("kehto");
+    service.policy.retry_window = RetryWindow{0.2, 10, std::chrono::seconds(9)};
+    for (const char* name : {"i-1", "i-2"}) {
+      service.backend_servers.push_back({BackendId(name), FailureDomain("a"), 4,
+                                         this->backend.Address(), name});
+    }
+    Route route;
+    route.name = "b";
+    route.path_prefix = "/b/";
+    route.service = service.name;
+    route.max_attempts = 2;
+    route.max_body_bytes = 1000;
+    route.idempotency = Idempotency::kByMethod;
+    configuration->services.emplace(service.name, service);
+    configuration->routes.push_back(route);
+    this->entry->ApplyConfiguration(configuration);
+  }
+};
+
+TEST_CASE("the request names whom it is for, and the caller's own id") {
+  std::string seen;
+  HostFixture f([&](TextStream& stream, const std::string& request) {
+    seen = request;
+    return stream.Send(Signed("abc", "body"));
+  });
+  const std::string answer = f.Ask(kPost);
+  CHECK(StatusOf(answer) == 200);
+  CHECK(BodyOf(answer) == "body");
+  CHECK(Field(answer, "X-Acaciaswitch-Response-Signature") == "s");
+  CHECK(Field(seen, "X-Acaciaswitch-Request-Id") == "abc");
+  CHECK(Field(seen, "X-Acaciaswitch-Expected-Instance").starts_with("i-"));
+  const int left = std::stoi(Field(seen, "X-Acaciaswitch-Deadline-Ms"));
+  CHECK(left <= 5000);
+  CHECK(left > 0);
+}
+
+TEST_CASE("a late answer to another request is passed over") {
+  HostFixture f([](TextStream& stream, const std::string&) {
+    stream.Send(Signed("other", "wrong"));
+    return stream.Send(Signed("abc", "right"));
+  });
+  const std::string answer = f.Ask(kPost);
+  CHECK(StatusOf(answer) == 200);
+  CHECK(BodyOf(answer) == "right");
+}
+
+TEST_CASE(
+    "a success without proof, or without the request's id, is not passed on") {
+  for (const std::string& forged : std::vector<std::string>{
+           "HTTP/1.1 200 OK\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+           "Content-Length: 1\r\n\r\nx",
+           "HTTP/1.1 200 OK\r\nX-Acaciaswitch-Response-Signature: s\r\n"
+           "Content-Length: 1\r\n\r\nx",
+           "garbage\r\n\r\n"}) {
+    HostFixture f([&](TextStream& stream, const std::string&) {
+      stream.Send(forged);
+      return false;
+    });
+    INFO(forged);
+    CHECK(StatusOf(f.Ask(kPost)) == 502);
+  }
+}
+
+TEST_CASE("a cut answer is tried elsewhere when it may run again") {
+  std::atomic<int> attempts{0};
+  HostFixture f([&](TextStream& stream, const std::string&) {
+    if (++attempts == 1) {
+      stream.Send(Signed("abc", std::string(100, 'x')).substr(0, 150));
+      return false;
+    }
+    return stream.Send(Signed("abc", "whole"));
+  });
+  const std::string answer = f.Ask(kGet);
+  CHECK(StatusOf(answer) == 200);
+  CHECK(BodyOf(answer) == "whole");
+  CHECK(attempts == 2);
+}
+
+TEST_CASE(
+    "a cut answer to work that may run once is never said not to have run") {
+  std::atomic<int> attempts{0};
+  HostFixture f([&](TextStream& stream, const std::string&) {
+    ++attempts;
+    stream.Send(Signed("abc", std::string(100, 'x')).substr(0, 150));
+    return false;
+  });
+  CHECK(StatusOf(f.Ask(kPost)) == 502);
+  CHECK(attempts == 1);
+}
+
+TEST_CASE(
+    "work that did not run goes elsewhere, to so many as the route allows") {
+  std::atomic<int> attempts{0};
+  HostFixture f([&](TextStream& stream, const std::string&) {
+    ++attempts;
+    return stream.Send(
+        "HTTP/1.1 503 Full\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+        "X-Acaciaswitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  const std::string answer = f.Ask(kPost);
+  CHECK(StatusOf(answer) == 503);
+  CHECK_FALSE(Field(answer, "Retry-After").empty());
+  CHECK(attempts == 2);
+}
+
+TEST_CASE("an answer that ends with its connection reaches the caller whole") {
+  HostFixture f([](TextStream& stream, const std::string&) {
+    stream.Send(
+        "HTTP/1.1 200 OK\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+        "X-Acaciaswitch-Response-Signature: s\r\n\r\nno length");
+    return false;
+  });
+  const std::string answer = f.Ask(kPost);
+  CHECK(BodyOf(answer) == "no length");
+  CHECK(Field(answer, "Content-Length") == "9");
+}
+
+TEST_CASE("an older configuration does not replace a newer one") {
+  HostFixture f([](TextStream& stream, const std::string&) {
+    return stream.Send(Signed("abc", "body"));
+  });
+  auto older = std::make_shared<Configuration>();
+  older->generation = Generation(2);
+  f.entry->ApplyConfiguration(older);
+  CHECK(StatusOf(f.Ask(kGet)) == 200);
+}
+
+}  // namespace
+}  // namespace acacia
--- a/test/error/settings_test.cc
+++ b/test/error/settings_test.cc
@@ -75,5 +75,26 @@
         "9 seed_peers[1]\n");
 }
 
+TEST_CASE("an entry has an agent or a host platform, and not both") {
+  const std::string common = R"({"instance":"i","failure_domain":"a",
+    "caller_listen":"127.0.0.1:0","operator_listen":"127.0.0.1:0")";
+  const std::string host = R"("host_platform":{"store_address":"10.0.0.1:1",
+    "lookup_listen":"127.0.0.1:0","ready_listen":"127.0.0.1:0",
+    "peer_listen":"127.0.0.1:0","grace_s":6.5)";
+  const std::string agent = R"("agent_address":"127.0.0.1:1")";
+  const auto read = [](const std::string& text) {
+    return ReadEntrySettings(WriteTemporary(text));
+  };
+  CHECK_FALSE(read(common + "}"));
+  CHECK(read(common + "," + agent + "}"));
+  CHECK_FALSE(read(common + "," + agent + "," + host + "}}"));
+  const auto settings = read(common + "," + host + "}}");
+  REQUIRE(settings);
+  CHECK(settings->host_platform->grace_s == 6.5);
+  CHECK_FALSE(read(common + "," + host + R"(,"floor_share":1.5}})"));
+  CHECK_FALSE(read(common + "," + host + R"(,"floor_share":"most"}})"));
+  CHECK_FALSE(read(common + "," + host + R"(,"retry_budget_window_s":0}})"));
+}
+
 }  // namespace
 }  // namespace acacia
