Share what backend servers tell of their load, and blame none for its queue

Change: the load in an answer travels with the outcomes; lateness counts only where nothing waits; a kept connection carries unsafe work for 3 s instead of 1. A test plays the crest without a network.

--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -76,6 +76,7 @@
 
   // How other entries' attempts went. Ignored where each judges alone.
   virtual void OnFleetEvidence(
+      const std::string& /*from*/,
       const std::vector<schema::BackendEvidenceT>& /*evidence*/,
       TimePoint /*now*/) {}
   virtual std::vector<schema::BackendEvidenceT> TakeEvidence() = 0;
--- a/src/backend_connection.cc
+++ b/src/backend_connection.cc
@@ -32,6 +32,10 @@
              ConnectionNeed need,
              TimePoint now) {
   const Duration age = now - connection.proven;
+  if (connection.idle_limit > Duration{} &&
+      age + kIdleMargin >= connection.idle_limit) {
+    return false;
+  }
   return age < (need == ConnectionNeed::kProven ? kRecentlyProven : kMaxIdle);
 }
 
--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -19,7 +19,10 @@
 namespace acacia {
 
 // A connection that answered within this time may carry non-idempotent work.
-inline constexpr Duration kRecentlyProven = std::chrono::seconds(1);
+inline constexpr Duration kRecentlyProven = std::chrono::seconds(3);
+// A kept connection is not used in the last part of the time after which its
+// backend server closes it: the close may be on its way.
+inline constexpr Duration kIdleMargin = std::chrono::seconds(1);
 // Kept connections that were idle for longer are closed.
 inline constexpr Duration kMaxIdle = std::chrono::seconds(30);
 
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -530,9 +530,10 @@
 }
 
 DispatchActions Dispatcher::OnFleetEvidence(
+    const std::string& from,
     const std::vector<schema::BackendEvidenceT>& evidence,
     TimePoint now) {
-  this->state->pool->OnFleetEvidence(evidence, now);
+  this->state->pool->OnFleetEvidence(from, evidence, now);
   return this->state->TakeActions(now);
 }
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -183,6 +183,7 @@
 
   // Evidence that other entries have gathered.
   DispatchActions OnFleetEvidence(
+      const std::string& from,
       const std::vector<schema::BackendEvidenceT>& evidence,
       TimePoint now);
 
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -56,7 +56,8 @@
   void Rebuild();
   schema::EntryReportT MakeReport();
   std::vector<schema::BackendEvidenceT> TakeEvidence();
-  void ApplyEvidence(const std::vector<schema::BackendEvidenceT>& evidence);
+  void ApplyEvidence(const std::string& from,
+                     const std::vector<schema::BackendEvidenceT>& evidence);
   OperatorHandlers MakeOperatorHandlers();
   std::vector<std::string> Status();
   std::vector<std::string> Explain(const ServiceName& service);
@@ -276,6 +277,7 @@
 }
 
 void EntryServer::State::ApplyEvidence(
+    const std::string& from,
     const std::vector<schema::BackendEvidenceT>& evidence) {
   std::map<ServiceName, std::vector<schema::BackendEvidenceT>> by_service;
   for (const schema::BackendEvidenceT& each : evidence) {
@@ -284,8 +286,8 @@
   for (const auto& [name, items] : by_service) {
     if (const auto service = this->context.services.Find(name)) {
       service->Feed(
-          [&items = items](Dispatcher& dispatcher, TimePoint now) {
-            return dispatcher.OnFleetEvidence(items, now);
+          [&from, &items = items](Dispatcher& dispatcher, TimePoint now) {
+            return dispatcher.OnFleetEvidence(from, items, now);
           },
           nullptr);
     }
@@ -415,8 +417,9 @@
 }
 
 void EntryServer::ApplyEvidence(
+    const std::string& from,
     const std::vector<schema::BackendEvidenceT>& evidence) {
-  this->state->ApplyEvidence(evidence);
+  this->state->ApplyEvidence(from, evidence);
 }
 
 std::vector<schema::BackendEvidenceT> EntryServer::TakeEvidence() {
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -46,7 +46,8 @@
   void ApplyFleet(std::unique_ptr<schema::FleetUpdateT> fleet);
   // Evidence about backend servers from other entries, and this entry's own
   // since the last call. Thread-safe.
-  void ApplyEvidence(const std::vector<schema::BackendEvidenceT>& evidence);
+  void ApplyEvidence(const std::string& from,
+                     const std::vector<schema::BackendEvidenceT>& evidence);
   std::vector<schema::BackendEvidenceT> TakeEvidence();
   // Called once, on any thread, when the graceful shutdown begins. Set before
   // Start.
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -5,9 +5,13 @@
 #include <sstream>
 #include <utility>
 
+#include "src/log_event.h"
+
 namespace acacia {
 namespace {
 
+// The source of what this entry saw itself, in the log.
+constexpr char kOwn[] = "self";
 // A suspect gets a probe from one entry or another about this often: each entry
 // draws its own turn between these, and every outcome heard of moves it.
 constexpr Duration kProbeAfter = std::chrono::milliseconds(900);
@@ -27,6 +31,8 @@
 constexpr double kDistantLargeCost = 1.0;
 // A reported load counts less the older it is.
 constexpr std::chrono::duration<double> kReportMemory(0.5);
+// After this time a report says nothing any more.
+constexpr Duration kQueueMemory = std::chrono::seconds(1);
 // An answer is late after this many times the usual time, or at this share of
 // its target while the usual time is unknown.
 constexpr double kLateFactor = 2.5;
@@ -138,7 +144,9 @@
                        TimePoint now) const {
   const auto slots = static_cast<double>(backend.server.slots);
   const std::chrono::duration<double> age = now - backend.reported_at;
-  const double fresh = std::exp(-(age / kReportMemory));
+  const double fresh = now - backend.reported_at < kQueueMemory
+                           ? std::exp(-(age / kReportMemory))
+                           : 0;
   const double reported =
       fresh * (backend.reported.running + backend.reported.waiting);
   double cost = std::max<double>(reported, backend.InFlight()) / slots;
@@ -148,7 +156,9 @@
   if (backend.is_cold) {
     cost += kColdCost;
   }
-  return cost + backend.shared.Suspicion(now);
+  // What is left of a cleared suspicion must not starve a backend server.
+  const double suspicion = backend.shared.Suspicion(now);
+  return cost + (suspicion > SharedHealth::kCleared ? suspicion : 0);
 }
 
 // The cheapest of a few drawn at random, as many from this entry's own failure
@@ -165,10 +175,14 @@
   FleetBackend* best = nullptr;
   double best_cost = 0;
   for (const Candidates* group : {&near, &distant}) {
-    const bool all = group->size() <= kDraws;
+    // Small groups are looked at whole.
+    const bool whole = group->size() <= kDraws;
+    const std::size_t turn =
+        group->empty() ? 0 : this->random.Below(group->size());
     for (std::size_t i = 0; i < std::min(kDraws, group->size()); ++i) {
-      FleetBackend* drawn =
-          (*group)[all ? i : this->random.Below(group->size())];
+      const std::size_t at =
+          whole ? turn + i : this->random.Below(group->size());
+      FleetBackend* drawn = (*group)[at % group->size()];
       const double cost = this->Cost(*drawn, work, now);
       if (best == nullptr || cost < best_cost) {
         best = drawn;
@@ -208,13 +222,30 @@
       now + kProbeAfter + Part(kProbeSpread, this->random.Fraction());
 }
 
-void FleetPool::AddBad(FleetBackend& backend, double weight, TimePoint now) {
+void FleetPool::AddBad(FleetBackend& backend,
+                       double weight,
+                       const std::string& source,
+                       TimePoint now) {
+  const bool before = backend.shared.IsSuspect(now);
   backend.shared.AddBad(weight, now);
+  if (!before && backend.shared.IsSuspect(now)) {
+    LogEvent("backend_suspected", LogSeverity::kWarning)
+        .With("service", this->service)
+        .With("backend_server", backend.server.id)
+        .With("seen_by", source)
+        .With("suspicion", backend.shared.Suspicion(now));
+  }
   this->ScheduleProbe(backend, now);
 }
 
 void FleetPool::AddGood(FleetBackend& backend, TimePoint now) {
+  const bool before = backend.shared.IsSuspect(now);
   backend.shared.AddGood(now);
+  if (before && !backend.shared.IsSuspect(now)) {
+    LogEvent("backend_trusted")
+        .With("service", this->service)
+        .With("backend_server", backend.server.id);
+  }
   this->ScheduleProbe(backend, now);
 }
 
@@ -228,9 +259,9 @@
       const auto late = this->SlowAfter(outcome.work);
       this->latencies[outcome.work.latency_key].Add(taken);
       if (late && taken > *late) {
-        if (!outcome.was_overdue) {
+        if (!outcome.was_overdue && !IsQueueing(backend, now)) {
           ++backend.late;
-          this->AddBad(backend, suspicion::kSlow, now);
+          this->AddBad(backend, suspicion::kSlow, kOwn, now);
         }
         return;
       }
@@ -239,22 +270,22 @@
     }
     case AttemptResult::kServerError:
       ++backend.server_errors;
-      return this->AddBad(backend, suspicion::kServerError, now);
+      return this->AddBad(backend, suspicion::kServerError, kOwn, now);
     case AttemptResult::kBroken:
     case AttemptResult::kTruncated:
     case AttemptResult::kMismatched:
       ++backend.broken;
-      return this->AddBad(backend, suspicion::kBroken, now);
+      return this->AddBad(backend, suspicion::kBroken, kOwn, now);
     case AttemptResult::kNotSent:
-      return this->AddBad(backend, suspicion::kUnreachable, now);
+      return this->AddBad(backend, suspicion::kUnreachable, kOwn, now);
     case AttemptResult::kTimedOut:
       ++backend.late;
-      return this->AddBad(backend, suspicion::kSlow, now);
+      return this->AddBad(backend, suspicion::kSlow, kOwn, now);
     case AttemptResult::kRefused:
       if (backend.reported_at == now &&
           backend.reported.running < backend.server.slots) {
         ++backend.server_errors;
-        this->AddBad(backend, suspicion::kRefusedFree, now);
+        this->AddBad(backend, suspicion::kRefusedFree, kOwn, now);
       }
       return;
     case AttemptResult::kCancelled:
@@ -268,6 +299,14 @@
   auto& backend = static_cast<FleetBackend&>(pooled);
   backend.reported = load;
   backend.reported_at = now;
+  backend.has_news = true;
+}
+
+// What waits in a queue is late whoever serves it, and tells nothing of the
+// backend server.
+bool FleetPool::IsQueueing(const FleetBackend& backend, TimePoint now) {
+  return backend.reported.waiting > 0 &&
+         now - backend.reported_at < kQueueMemory;
 }
 
 void FleetPool::OnOverdue(PooledBackend& pooled,
@@ -276,8 +315,11 @@
                           TimePoint now) {
   auto& backend = static_cast<FleetBackend&>(pooled);
   ++backend.overdue;
+  if (IsQueueing(backend, now)) {
+    return;
+  }
   ++backend.late;
-  this->AddBad(backend, suspicion::kSlow, now);
+  this->AddBad(backend, suspicion::kSlow, kOwn, now);
 }
 
 Duration FleetPool::MedianLatency(const Work& work) const {
@@ -302,6 +344,7 @@
 }
 
 void FleetPool::OnFleetEvidence(
+    const std::string& from,
     const std::vector<schema::BackendEvidenceT>& evidence,
     TimePoint now) {
   for (const schema::BackendEvidenceT& each : evidence) {
@@ -309,6 +352,10 @@
     if (backend == nullptr) {
       continue;
     }
+    if (each.slots > 0) {
+      backend->reported = {each.running, each.waiting, each.slots};
+      backend->reported_at = now;
+    }
     const double bad = suspicion::kBroken * each.failures +
                        suspicion::kServerError * each.server_errors +
                        suspicion::kSlow * each.slow;
@@ -316,7 +363,7 @@
       this->AddGood(*backend, now);
     }
     if (bad > 0) {
-      this->AddBad(*backend, bad, now);
+      this->AddBad(*backend, bad, from, now);
     }
   }
 }
@@ -324,9 +371,9 @@
 std::vector<schema::BackendEvidenceT> FleetPool::TakeEvidence() {
   std::vector<schema::BackendEvidenceT> evidence;
   for (FleetBackend* backend : this->listed) {
-    if (backend->good + backend->broken + backend->server_errors +
-            backend->late ==
-        0) {
+    const std::uint32_t outcomes = backend->good + backend->broken +
+                                   backend->server_errors + backend->late;
+    if (outcomes == 0 && !backend->has_news) {
       continue;
     }
     schema::BackendEvidenceT item;
@@ -336,6 +383,11 @@
     item.failures = std::exchange(backend->broken, 0);
     item.server_errors = std::exchange(backend->server_errors, 0);
     item.slow = std::exchange(backend->late, 0);
+    if (std::exchange(backend->has_news, false)) {
+      item.running = backend->reported.running;
+      item.waiting = backend->reported.waiting;
+      item.slots = backend->reported.slots;
+    }
     item.avoided = backend->shared.LastHeard() != backend->shared.LastGood() ||
                    item.failures + item.server_errors + item.slow > 0;
     evidence.push_back(std::move(item));
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -26,6 +26,8 @@
   bool is_cold = false;
   ReportedLoad reported;
   TimePoint reported_at{};
+  // It told this entry its load since the load was last passed on.
+  bool has_news = false;
   // The next idempotent request that shows whether a suspect is well again.
   TimePoint next_probe{};
   // This entry's outcomes since they were last taken.
@@ -66,7 +68,8 @@
   std::optional<TimePoint> NextOpening(TimePoint /*now*/) const override {
     return std::nullopt;
   }
-  void OnFleetEvidence(const std::vector<schema::BackendEvidenceT>& evidence,
+  void OnFleetEvidence(const std::string& from,
+                       const std::vector<schema::BackendEvidenceT>& evidence,
                        TimePoint now) override;
   std::vector<schema::BackendEvidenceT> TakeEvidence() override;
   std::vector<std::string> Explain(TimePoint now) const override;
@@ -83,9 +86,14 @@
   double Cost(const FleetBackend& backend,
               const Work& work,
               TimePoint now) const;
-  void AddBad(FleetBackend& backend, double weight, TimePoint now);
+  // `source` says who saw it, for the log.
+  void AddBad(FleetBackend& backend,
+              double weight,
+              const std::string& source,
+              TimePoint now);
   void AddGood(FleetBackend& backend, TimePoint now);
   void ScheduleProbe(FleetBackend& backend, TimePoint now);
+  static bool IsQueueing(const FleetBackend& backend, TimePoint now);
   FleetBackend* Find(const BackendId& id) const;
 
   ServiceName service;
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -474,7 +474,7 @@
   for (const auto& each : share.outcomes) {
     evidence.push_back(*each);
   }
-  this->entry.ApplyEvidence(evidence);
+  this->entry.ApplyEvidence(share.instance, evidence);
 }
 
 net::awaitable<void> HostControl::State::Register() {
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -48,7 +48,7 @@
     evidence.id = Id(backend).Value();
     evidence.good = good;
     evidence.failures = failures;
-    this->pool.OnFleetEvidence({evidence}, this->now);
+    this->pool.OnFleetEvidence("other", {evidence}, this->now);
   }
 
   SeededRandom random{7};
@@ -140,6 +140,92 @@
   CHECK(f.pool.TakeEvidence().empty());
 }
 
+TEST_CASE("the load that a backend server told one entry is known to all") {
+  PoolFixture f;
+  schema::BackendEvidenceT evidence;
+  evidence.id = f.Id(0).Value();
+  evidence.running = 4;
+  evidence.waiting = 2;
+  evidence.slots = 4;
+  f.pool.OnFleetEvidence("other", {evidence}, f.now);
+  CHECK(f.UsedByUnsafe() == std::set<BackendId>{f.Id(1), f.Id(2)});
+  f.now += seconds(5);
+  CHECK(f.UsedByUnsafe().contains(f.Id(1)));
+}
+
+TEST_CASE("an answer that waited in a queue does not tell against its server") {
+  PoolFixture f;
+  const Work work = f.MakeWork(false);
+  PooledBackend* backend = f.Pick(false);
+  f.pool.OnReportedLoad(*backend, {4, 2, 4}, f.now);
+  for (int i = 0; i < 5; ++i) {
+    f.pool.OnOutcome(
+        *backend, {work, AttemptResult::kSuccess, f.now - seconds(2)}, f.now);
+  }
+  f.now += seconds(2);
+  CHECK(f.UsedByUnsafe().size() == 3);
+}
+
+// The crest of conteo-mx: 270 requests a second for 25 backend servers of 3
+// slots, by 40 entries. Each entry alone cannot see the others' requests; with
+// the load that any of them was told, few requests meet a full queue.
+TEST_CASE("at a crest, told loads spread the requests") {
+  constexpr int kEntries = 40;
+  constexpr int kServers = 25;
+  constexpr int kSlots = 3;
+  const auto longest_queue = [](bool tells) {
+    SeededRandom random(3);
+    std::vector<std::unique_ptr<FleetPool>> pools;
+    ServiceView view;
+    for (int i = 0; i < kServers; ++i) {
+      view.backend_servers.push_back(
+          {BackendId(std::to_string(i)), FailureDomain("a"), kSlots});
+    }
+    const TimePoint start{seconds(1000)};
+    for (int i = 0; i < kEntries; ++i) {
+      pools.push_back(std::make_unique<FleetPool>(ServiceName("s"),
+                                                  FailureDomain("a"), random));
+      pools.back()->Apply(view, start);
+    }
+    // When each request at a server will have run; 200 ms each.
+    std::vector<std::vector<TimePoint>> ends(kServers);
+    std::size_t longest = 0;
+    for (int request = 0; request < 2000; ++request) {
+      const TimePoint now = start + milliseconds(4) * request;
+      FleetPool& pool = *pools[static_cast<std::size_t>(request % kEntries)];
+      Work work;
+      const std::vector<BackendId> none;
+      PooledBackend* picked = pool.Pick({work, none}, now);
+      auto& queue = ends[std::stoul(picked->server.id.Value())];
+      std::erase_if(queue, [now](TimePoint end) { return end <= now; });
+      const TimePoint from =
+          queue.size() < kSlots ? now : queue[queue.size() - kSlots];
+      queue.push_back(from + milliseconds(200));
+      longest = std::max(longest, queue.size());
+      if (tells) {
+        schema::BackendEvidenceT evidence;
+        evidence.id = picked->server.id.Value();
+        evidence.running = std::min<std::uint32_t>(
+            kSlots, static_cast<std::uint32_t>(queue.size()));
+        evidence.waiting =
+            static_cast<std::uint32_t>(queue.size()) - evidence.running;
+        evidence.slots = kSlots;
+        for (const auto& each : pools) {
+          each->OnFleetEvidence("other", {evidence}, now);
+        }
+      }
+    }
+    return longest;
+  };
+  const std::size_t alone = longest_queue(false);
+  const std::size_t told = longest_queue(true);
+  INFO("alone " << alone << ", told " << told);
+  // Three in slots and as many waiting: nobody waits longer than one service
+  // time.
+  CHECK(told <= 2 * kSlots);
+  CHECK(told < alone);
+}
+
 TEST_CASE("an answer is late by the route's usual time") {
   PoolFixture f;
   const Work work = f.MakeWork(true);
