--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -24,6 +24,9 @@
 // Outcomes of this time are told to the other entries together: short beside
 // the seconds that a fault lasts, long beside the cost of a wake-up.
 constexpr std::chrono::milliseconds kShareInterval{40};
+// Without outcomes the entries of a failure domain hear this often that the
+// sender lives.
+constexpr std::chrono::milliseconds kHeartbeat{500};
 // Pause before a row that could not be written is written again.
 constexpr std::chrono::milliseconds kRowRetry{500};
 // Entries that are assumed for the shares of fleet-wide bounds before the
@@ -108,6 +111,7 @@
   bool registry_read = false;
   bool members_read = false;
   bool stopping = false;
+  TimePoint shared_at{};
   std::uint64_t sequence = 0;
   Generation generation;
   std::unique_ptr<RowStore> own_rows;
@@ -183,8 +187,8 @@
       std::chrono::duration<double>(this->host.lookup_lifetime_s));
   HttpReply reply;
   reply.headers["content-type"] = "application/json";
-  reply.body = this->adapter.write_lookup(this->directory.AddressesFor(domain),
-                                          lifetime);
+  reply.body = this->adapter.write_lookup(
+      this->directory.AddressesFor(domain, this->clock.Now()), lifetime);
   return reply;
 }
 
@@ -327,12 +331,25 @@
       registrations[row.key] = this->ReadRegistration(row);
     }
     this->registry.Replace(registrations, now);
+    LogEvent("registrations_read")
+        .With("count", rows.rows.size())
+        .With("version", rows.version);
   } else {
     for (const TableRow& row : rows.rows) {
       if (row.removed) {
         this->registry.Remove(row.key, now);
-      } else {
-        this->registry.Put(row.key, this->ReadRegistration(row), now);
+        LogEvent("registration_removed")
+            .With("name", row.key)
+            .With("row_version", row.version);
+        continue;
+      }
+      const auto backend = this->ReadRegistration(row);
+      this->registry.Put(row.key, backend, now);
+      if (backend) {
+        LogEvent("registration_changed")
+            .With("backend_server", backend->id)
+            .With("row_version", row.version)
+            .With("leaving", backend->leaving);
       }
     }
   }
@@ -347,10 +364,16 @@
   for (const TableRow& row : rows.rows) {
     if (row.removed) {
       this->directory.Remove(InstanceId(row.key));
+      LogEvent("member_left")
+          .With("instance", row.key)
+          .With("row_version", row.version);
       continue;
     }
     if (const auto member = ParseMember(row.value)) {
       this->directory.Put(*member);
+      LogEvent("member_joined")
+          .With("instance", row.key)
+          .With("row_version", row.version);
     }
   }
   this->members_read = true;
@@ -424,7 +447,9 @@
     pause.expires_after(kShareInterval);
     co_await pause.async_wait(kAwait);
     const auto evidence = this->entry.TakeEvidence();
-    if (!evidence.empty()) {
+    const TimePoint now = this->clock.Now();
+    if (!evidence.empty() || now - this->shared_at >= kHeartbeat) {
+      this->shared_at = now;
       this->SendShare(evidence);
     }
   }
@@ -467,6 +492,7 @@
   }
   schema::OutcomeShareT share;
   flatbuffers::GetRoot<schema::OutcomeShare>(data)->UnPackTo(&share);
+  this->directory.OnHeard(InstanceId(share.instance), this->clock.Now());
   this->configurations->Expect(RowVersion(share.configuration_row));
   this->registrations->Expect(RowVersion(share.registrations_row));
   this->members->Expect(RowVersion(share.members_row));
--- a/src/member_directory.cc
+++ b/src/member_directory.cc
@@ -33,6 +33,7 @@
 void MemberDirectory::Remove(const InstanceId& instance) {
   if (instance.Value() != this->self.instance) {
     this->members.erase(instance);
+    this->heard.erase(instance);
   }
 }
 
@@ -41,13 +42,43 @@
   this->members[InstanceId(this->self.instance)] = this->self;
 }
 
+void MemberDirectory::OnHeard(const InstanceId& instance, TimePoint now) {
+  this->heard[instance] = now;
+}
+
+bool MemberDirectory::IsNear(const schema::MemberUpdateT& member) const {
+  return member.failure_domain == this->self.failure_domain &&
+         member.instance != this->self.instance;
+}
+
+// One that was never heard may only just have started, or this entry has.
+bool MemberDirectory::IsSilent(const schema::MemberUpdateT& member,
+                               TimePoint now) const {
+  const auto found = this->heard.find(InstanceId(member.instance));
+  return this->IsNear(member) && found != this->heard.end() &&
+         now - found->second > kSilence;
+}
+
+bool MemberDirectory::MostAreSilent(TimePoint now) const {
+  std::size_t near = 0;
+  std::size_t silent = 0;
+  for (const auto& [instance, member] : this->members) {
+    near += this->IsNear(member) ? 1 : 0;
+    silent += this->IsSilent(member, now) ? 1 : 0;
+  }
+  return 2 * silent > near;
+}
+
 std::vector<std::string> MemberDirectory::AddressesFor(
-    const FailureDomain& domain) const {
+    const FailureDomain& domain,
+    TimePoint now) const {
+  const bool trust_silence = !this->MostAreSilent(now);
   std::vector<std::string> near;
   std::vector<std::string> all;
   for (const auto& [instance, member] : this->members) {
     const bool left = this->leaving && instance.Value() == this->self.instance;
-    if (left || !IsServing(member)) {
+    const bool silent = trust_silence && this->IsSilent(member, now);
+    if (left || silent || !IsServing(member)) {
       continue;
     }
     all.push_back(member.caller_address);
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -377,6 +377,7 @@
                  good ? LogSeverity::kInfo : LogSeverity::kWarning);
   event.With("request", this->request_id)
       .With("attempt", this->start.attempt)
+      .With("route", this->exchange.work.latency_key)
       .With("backend_server", this->start.backend)
       .With("result", AttemptResultName(result))
       .With("ms", taken.count())
