--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -4,8 +4,10 @@
 // twice to stop, 2 for mistakes in the command line or the settings.
 #include <boost/asio.hpp>
 #include <boost/program_options.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <functional>
 #include <iostream>
 #include <optional>
@@ -27,6 +29,8 @@
 
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
+// How often the settings file is looked at for a change without a signal.
+constexpr std::chrono::seconds kFileInterval{2};
 
 struct CommandLine {
   options::options_description description{
@@ -53,14 +57,21 @@
 }
 
 // SIGTERM and SIGINT start the graceful shutdown, a second one ends the
-// process. SIGHUP reads the settings again.
+// process. SIGHUP, and a settings file that has changed, read the settings
+// again.
 class SignalHandler {
  public:
-  SignalHandler(acacia::EntryServer& server, std::function<void()> reload)
+  SignalHandler(acacia::EntryServer& server,
+                std::string file,
+                std::function<void()> reload)
       : signals(context, SIGTERM, SIGINT, SIGHUP),
+        look(context),
         server(server),
+        file(std::move(file)),
+        changed_at(this->ChangeTime()),
         reload(std::move(reload)) {
     this->Await();
+    this->WatchFile();
     this->thread = std::thread([this] { this->context.run(); });
   }
   ~SignalHandler() {
@@ -81,8 +92,35 @@
         });
   }
 
+  // Zero when the file cannot be read.
+  std::filesystem::file_time_type ChangeTime() const {
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(this->file, error);
+    return error ? std::filesystem::file_time_type() : time;
+  }
+
+  void WatchFile() {
+    this->look.expires_after(kFileInterval);
+    this->look.async_wait([this](const boost::system::error_code& error) {
+      if (error) {
+        return;
+      }
+      this->ReloadIfChanged();
+      this->WatchFile();
+    });
+  }
+
+  void ReloadIfChanged() {
+    const auto time = this->ChangeTime();
+    if (time != this->changed_at) {
+      this->changed_at = time;
+      this->reload();
+    }
+  }
+
   void OnSignal(int signal) {
     if (signal == SIGHUP) {
+      this->changed_at = this->ChangeTime();
       this->reload();
       return;
     }
@@ -98,14 +136,17 @@
 
   boost::asio::io_context context;
   boost::asio::signal_set signals;
+  boost::asio::steady_timer look;
   acacia::EntryServer& server;
+  const std::string file;
+  std::filesystem::file_time_type changed_at;
   std::function<void()> reload;
   bool stopping = false;
   std::thread thread;
 };
 
 // The time from SIGTERM to SIGKILL that is left unused.
-constexpr std::chrono::milliseconds kKillMargin{150};
+constexpr std::chrono::milliseconds kKillMargin{400};
 
 // An entry on a host platform speaks its dialect and has no agent.
 acacia::EntryPolicy MakePolicy(const acacia::schema::EntrySettingsT& settings,
@@ -168,8 +209,15 @@
     return kExitFailure;
   }
   const SignalHandler signals(
-      server, [&] { Reload(file, control ? &*control : nullptr); });
+      server, file, [&] { Reload(file, control ? &*control : nullptr); });
   server.Wait();
+  if (control) {
+    // Connections that are still open at the end of the grace time would hold
+    // up an orderly clean-up until SIGKILL.
+    acacia::LogEvent("exiting").With("instance", settings.instance);
+    acacia::StandardLog().Flush();
+    std::_Exit(0);
+  }
   return 0;
 }
 
--- a/src/log_writer.cc
+++ b/src/log_writer.cc
@@ -79,8 +79,8 @@
 
 LogWriter& StandardLog() {
   // Never destroyed: threads may log until the process ends.
-  static auto* const kWriter = new LogWriter(WriteToStandardOutput);
-  return *kWriter;
+  static auto* const writer = new LogWriter(WriteToStandardOutput);
+  return *writer;
 }
 
 }  // namespace acacia
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -23,7 +23,7 @@
 constexpr Duration kWaitAfterFailure = std::chrono::milliseconds(600);
 // Pause between a change and the next call, so that a burst of changes costs
 // few calls. Small beside the seconds in which changes must be in force.
-constexpr std::chrono::milliseconds kBatchPause{150};
+constexpr std::chrono::milliseconds kBatchPause{350};
 // Pauses after a failed call grow between these.
 constexpr std::chrono::milliseconds kFirstPause{100};
 constexpr std::chrono::milliseconds kLongestPause{500};
@@ -60,6 +60,8 @@
   // The newest version that others know of.
   RowVersion expected;
   bool given_up = false;
+  bool in_call = false;
+  bool awaits_arrival = false;
   std::optional<bool> available;
   std::chrono::milliseconds failure_pause = kFirstPause;
   bool stopped = false;
@@ -106,8 +108,10 @@
           ? kWaitAfterFailure
           : kLeastWait + std::chrono::duration_cast<Duration>(
                              kWaitSpread * this->random.Fraction());
+  this->in_call = true;
   const auto changes =
       co_await this->store->AwaitChanges(this->table, *this->version, wait);
+  this->in_call = false;
   if (this->stopped) {
     co_return;
   }
@@ -164,7 +168,9 @@
 
 // Another entry knows of a change that has not arrived here.
 void TableFollower::State::GiveUpWait() {
-  if (this->version && this->expected <= *this->version) {
+  // Between calls there is nothing to give up: the next one is sent soon.
+  const bool arrived = this->version && this->expected <= *this->version;
+  if (arrived || !this->in_call) {
     return;
   }
   LogEvent("table_behind", LogSeverity::kWarning)
@@ -173,7 +179,6 @@
       .With("others_know", this->expected);
   this->given_up = true;
   this->store->Abort();
-  this->timer.cancel();
 }
 
 void TableFollower::State::SetAvailable(bool now_available) {
@@ -227,15 +232,21 @@
 void TableFollower::Expect(RowVersion version) {
   State& state = *this->state;
   const bool known = state.version && version <= *state.version;
-  if (known || version <= state.expected) {
+  if (known) {
+    return;
+  }
+  if (version > state.expected) {
+    state.expected = version;
+  }
+  if (std::exchange(state.awaits_arrival, true)) {
     return;
   }
-  state.expected = version;
   state.arrival.expires_after(kArrivalTime);
   state.arrival.async_wait([weak = std::weak_ptr<State>(this->state)](
                                const boost::system::error_code& error) {
     const auto self = weak.lock();
     if (self && !error) {
+      self->awaits_arrival = false;
       self->GiveUpWait();
     }
   });
