--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -448,7 +448,10 @@
     co_await pause.async_wait(kAwait);
     const auto evidence = this->entry.TakeEvidence();
     const TimePoint now = this->clock.Now();
-    if (!evidence.empty() || now - this->shared_at >= kHeartbeat) {
+    // One that does not serve falls silent, so that lookups leave it out also
+    // while the store, and with it the members' table, is away.
+    const bool is_due = now - this->shared_at >= kHeartbeat;
+    if (this->IsReady() && (!evidence.empty() || is_due)) {
       this->shared_at = now;
       this->SendShare(evidence);
     }
