Hold no registration after an outage of this entry alone

Change: when others learnt newer registrations during the outage, what is missing is gone at once; a store that is back is found within 0.25 to 0.85 s, and the hold is 1.9 s, so that both together end within 3 s. Ruled out: no hold at all (registrations that lapse in an outage of the store return only within two seconds).

--- a/src/backend_registry.cc
+++ b/src/backend_registry.cc
@@ -58,8 +58,10 @@
 void BackendRegistry::OnStoreAvailable(bool available, TimePoint now) {
   if (!available && this->available) {
     this->lost_at = now;
+    this->is_own_outage = false;
   }
-  const bool outage = now - this->lost_at >= kShortestOutage;
+  const bool outage =
+      now - this->lost_at >= kShortestOutage && !this->is_own_outage;
   if (available && !this->available && outage) {
     this->returned_at = now;
     for (auto& [name, held] : this->held) {
@@ -71,6 +73,14 @@
   this->available = available;
 }
 
+// What others learnt just before the store went away may reach this entry as
+// news shortly after.
+void BackendRegistry::OnOthersAhead(TimePoint now) {
+  if (!this->available && now - this->lost_at >= kShortestOutage) {
+    this->is_own_outage = true;
+  }
+}
+
 bool BackendRegistry::OnTimer(TimePoint now) {
   const std::size_t before = this->held.size();
   std::erase_if(this->held, [now](const auto& item) {
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -2,7 +2,8 @@
 // the store does to them. Registrations lapse while backend servers cannot
 // renew them; those that live are back soon after the store is. So what goes
 // missing in an outage stays in use until the store has been back for a while,
-// and is gone if it is still missing then.
+// and is gone if it is still missing then. When only this entry was cut off
+// from the store, nothing lapsed by that, and what is missing is gone at once.
 //
 // Not thread-safe; events and `now` in, no I/O.
 #ifndef SRC_BACKEND_REGISTRY_H_
@@ -41,7 +42,7 @@
  public:
   // Registrations that lapsed in an outage are back within this time of its
   // end, if their backend server lives.
-  static constexpr Duration kReturnTime = std::chrono::milliseconds(2200);
+  static constexpr Duration kReturnTime = std::chrono::milliseconds(1900);
   // A shorter time without the store lets no registration lapse: a single lost
   // connection delays nothing.
   static constexpr Duration kShortestOutage = std::chrono::seconds(1);
@@ -60,6 +61,8 @@
            TimePoint now);
   void Remove(const std::string& name, TimePoint now);
   void OnStoreAvailable(bool available, TimePoint now);
+  // Another entry knows of a newer registration than this one.
+  void OnOthersAhead(TimePoint now);
 
   // Drops what is gone by now; true when that, or the end of a cold start,
   // changed anything since the last call.
@@ -74,6 +77,8 @@
   std::map<std::string, Held> held;
   bool available = true;
   TimePoint lost_at{};
+  // The store served others during this outage.
+  bool is_own_outage = false;
   std::optional<TimePoint> returned_at;
   TimePoint last_timer{};
 };
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -27,6 +27,9 @@
 // Without outcomes the entries of a failure domain hear this often that the
 // sender lives.
 constexpr std::chrono::milliseconds kHeartbeat{500};
+// One table is asked often enough to find a store that is back; the others
+// follow it at once, and ask less often by themselves.
+constexpr Duration kLongestOtherPause = std::chrono::milliseconds(1200);
 // Pause before a row that could not be written is written again.
 constexpr std::chrono::milliseconds kRowRetry{500};
 // Entries that are assumed for the shares of fleet-wide bounds before the
@@ -81,7 +84,8 @@
   void Reload(const schema::HostPlatformSettingsT& next);
   ServicePolicy MakePolicy() const;
   std::unique_ptr<TableFollower> Follow(const std::string& table,
-                                        TableEvents events);
+                                        TableEvents events,
+                                        Duration longest_pause);
   void OnConfigurationRow(const TableRow& row);
   void OnRegistrations(const TableRows& rows, bool whole);
   void OnMembers(const TableRows& rows, bool whole);
@@ -209,10 +213,11 @@
 
 std::unique_ptr<TableFollower> HostControl::State::Follow(
     const std::string& table,
-    TableEvents events) {
-  return std::make_unique<TableFollower>(this->strand, table,
-                                         this->adapter.make_store(),
-                                         std::move(events), this->random);
+    TableEvents events,
+    Duration longest_pause) {
+  return std::make_unique<TableFollower>(
+      this->strand, table, this->adapter.make_store(), std::move(events),
+      this->random, longest_pause);
 }
 
 tl::expected<void, std::string> HostControl::State::Start() {
@@ -234,20 +239,27 @@
   };
   this->configurations =
       this->Follow(this->adapter.configuration_table,
-                   {each_configuration, each_configuration, [](bool) {}});
+                   {each_configuration, each_configuration, [](bool) {}},
+                   kLongestOtherPause);
   this->registrations = this->Follow(
       this->adapter.registrations_table,
       {[this](const TableRows& rows) { this->OnRegistrations(rows, true); },
        [this](const TableRows& rows) { this->OnRegistrations(rows, false); },
        [this](bool available) {
          this->registry.OnStoreAvailable(available, this->clock.Now());
+         if (available) {
+           this->configurations->Hurry();
+           this->members->Hurry();
+         }
          this->ArmTimer();
-       }});
+       }},
+      TableFollower::kLongestPause);
   this->members = this->Follow(
       this->adapter.members_table,
       {[this](const TableRows& rows) { this->OnMembers(rows, true); },
        [this](const TableRows& rows) { this->OnMembers(rows, false); },
-       [](bool) {}});
+       [](bool) {}},
+      kLongestOtherPause);
   for (TableFollower* follower :
        {this->configurations.get(), this->registrations.get(),
         this->members.get()}) {
@@ -497,7 +509,11 @@
   flatbuffers::GetRoot<schema::OutcomeShare>(data)->UnPackTo(&share);
   this->directory.OnHeard(InstanceId(share.instance), this->clock.Now());
   this->configurations->Expect(RowVersion(share.configuration_row));
-  this->registrations->Expect(RowVersion(share.registrations_row));
+  const RowVersion others_know(share.registrations_row);
+  if (others_know > this->registrations->Version()) {
+    this->registry.OnOthersAhead(this->clock.Now());
+  }
+  this->registrations->Expect(others_know);
   this->members->Expect(RowVersion(share.members_row));
   std::vector<schema::BackendEvidenceT> evidence;
   for (const auto& each : share.outcomes) {
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -24,9 +24,8 @@
 // Pause between a change and the next call, so that a burst of changes costs
 // few calls. Small beside the seconds in which changes must be in force.
 constexpr std::chrono::milliseconds kBatchPause{350};
-// Pauses after a failed call grow between these.
-constexpr std::chrono::milliseconds kFirstPause{100};
-constexpr std::chrono::milliseconds kLongestPause{500};
+// The first pause after a failed call.
+constexpr Duration kFirstPause = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -63,7 +62,9 @@
   bool in_call = false;
   bool awaits_arrival = false;
   std::optional<bool> available;
-  std::chrono::milliseconds failure_pause = kFirstPause;
+  Duration failure_pause = kFirstPause;
+  Duration longest_pause{};
+  bool is_pausing_after_failure = false;
   bool stopped = false;
 };
 
@@ -155,8 +156,10 @@
   const double jitter = 0.5 + this->random.Fraction();
   const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->failure_pause * jitter);
-  this->failure_pause = std::min(this->failure_pause * 2, kLongestPause);
+  this->failure_pause = std::min(this->failure_pause * 2, this->longest_pause);
+  this->is_pausing_after_failure = true;
   co_await this->Pause(pause);
+  this->is_pausing_after_failure = false;
 }
 
 void TableFollower::State::NoteRows(const TableRows& rows) {
@@ -202,11 +205,13 @@
                              std::string table,
                              std::unique_ptr<RowStore> store,
                              TableEvents events,
-                             RandomSource& random)
+                             RandomSource& random,
+                             Duration longest_pause)
     : state(std::make_shared<State>(executor, random)) {
   this->state->table = std::move(table);
   this->state->store = std::move(store);
   this->state->events = std::move(events);
+  this->state->longest_pause = longest_pause;
 }
 
 TableFollower::~TableFollower() {
@@ -252,6 +257,12 @@
   });
 }
 
+void TableFollower::Hurry() {
+  if (this->state->is_pausing_after_failure) {
+    this->state->timer.cancel();
+  }
+}
+
 RowVersion TableFollower::Version() const {
   return this->state->version.value_or(RowVersion());
 }
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -32,7 +32,8 @@
                 std::string table,
                 std::unique_ptr<RowStore> store,
                 TableEvents events,
-                RandomSource& random);
+                RandomSource& random,
+                Duration longest_pause = kLongestPause);
   ~TableFollower();
 
   void Start();
@@ -40,12 +41,16 @@
   // A change of this version exists. Unless it arrives within kArrivalTime, the
   // call that waits is given up and the store is asked again.
   void Expect(RowVersion version);
+  // The store answers again: does not wait for the end of a pause.
+  void Hurry();
   // Up to which version of the store the table is known.
   RowVersion Version() const;
   // The newest row that was seen.
   RowVersion NewestRow() const;
 
   static constexpr std::chrono::milliseconds kArrivalTime{250};
+  // Pauses after failed calls grow up to this.
+  static constexpr std::chrono::milliseconds kLongestPause{250};
 
  private:
   struct State;
