--- /dev/null
+++ b/src/fleet_state.cc
@@ -0,0 +1,64 @@
+#include "src/fleet_state.h"
+
+#include <map>
+#include <utility>
+
+namespace acacia {
+namespace {
+
+std::unique_ptr<schema::FleetMemberT> DescribeMember(
+    const schema::MemberUpdateT& member) {
+  auto described = std::make_unique<schema::FleetMemberT>();
+  described->instance = member.instance;
+  described->caller_address = member.caller_address;
+  described->failure_domain = member.failure_domain;
+  described->region = member.region;
+  described->state = member.state;
+  return described;
+}
+
+std::unique_ptr<schema::DiscoveredBackendServerT> DescribeBackend(
+    const BackendRegistry::Held& held,
+    TimePoint now) {
+  const BackendServer& server = held.backend.server;
+  auto described = std::make_unique<schema::DiscoveredBackendServerT>();
+  described->id = held.backend.id.Value();
+  described->address = server.address;
+  described->expected_instance = server.expected_instance;
+  described->failure_domain = server.failure_domain.Value();
+  described->slots = server.slots;
+  described->cold = held.cold_until > now;
+  return described;
+}
+
+}  // namespace
+
+std::unique_ptr<schema::FleetUpdateT> BuildFleetUpdate(
+    const BackendRegistry& registry,
+    const MemberDirectory& directory,
+    std::uint32_t fleet_size,
+    TimePoint now) {
+  auto fleet = std::make_unique<schema::FleetUpdateT>();
+  fleet->fleet_size = fleet_size;
+  for (const auto& [instance, member] : directory.Members()) {
+    fleet->members.push_back(DescribeMember(member));
+  }
+  std::map<ServiceName, std::unique_ptr<schema::ServiceFleetStateT>> services;
+  for (const auto& [name, held] : registry.Backends()) {
+    auto& service = services[held.backend.service];
+    if (!service) {
+      service = std::make_unique<schema::ServiceFleetStateT>();
+      service->service = held.backend.service.Value();
+    }
+    if (held.backend.leaving) {
+      service->leaving.push_back(held.backend.id.Value());
+    }
+    service->discovered.push_back(DescribeBackend(held, now));
+  }
+  for (auto& [name, service] : services) {
+    fleet->services.push_back(std::move(service));
+  }
+  return fleet;
+}
+
+}  // namespace acacia
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -1,15 +1,16 @@
 #include "src/host_control.h"
 
-#include <flatbuffers/flatbuffers.h>
-
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <iterator>
 #include <utility>
 
+#include "src/fleet_state.h"
+#include "src/host_policy.h"
 #include "src/log_event.h"
 #include "src/member_directory.h"
 #include "src/operator_server.h"
+#include "src/peer_messages.h"
 #include "src/peer_transport.h"
 #include "src/random_source.h"
 #include "src/table_follower.h"
@@ -20,7 +21,6 @@
 namespace net = boost::asio;
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
-constexpr Duration kUnboundedProgress = std::chrono::hours(1);
 // Outcomes of this time are told to the other entries together: short beside
 // the seconds that a fault lasts, long beside the cost of a wake-up.
 constexpr std::chrono::milliseconds kShareInterval{40};
@@ -36,42 +36,6 @@
 // members' table has been read.
 constexpr std::uint32_t kAssumedMembers = 64;
 
-std::string SerializeMember(const schema::MemberUpdateT& member) {
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(schema::MemberUpdate::Pack(builder, &member));
-  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
-          builder.GetSize()};
-}
-
-// `head` without outcomes.
-std::string SerializeShare(
-    const schema::OutcomeShareT& head,
-    const std::vector<schema::BackendEvidenceT>& evidence) {
-  schema::OutcomeShareT share;
-  share.instance = head.instance;
-  share.configuration_row = head.configuration_row;
-  share.registrations_row = head.registrations_row;
-  share.members_row = head.members_row;
-  for (const schema::BackendEvidenceT& each : evidence) {
-    share.outcomes.push_back(std::make_unique<schema::BackendEvidenceT>(each));
-  }
-  flatbuffers::FlatBufferBuilder builder;
-  builder.Finish(schema::OutcomeShare::Pack(builder, &share));
-  return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
-          builder.GetSize()};
-}
-
-std::optional<schema::MemberUpdateT> ParseMember(const std::string& bytes) {
-  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
-  flatbuffers::Verifier verifier(data, bytes.size());
-  if (!verifier.VerifyBuffer<schema::MemberUpdate>(nullptr)) {
-    return std::nullopt;
-  }
-  schema::MemberUpdateT member;
-  flatbuffers::GetRoot<schema::MemberUpdate>(data)->UnPackTo(&member);
-  return member;
-}
-
 }  // namespace
 
 struct HostControl::State : std::enable_shared_from_this<State> {
@@ -82,7 +46,6 @@
 
   tl::expected<void, std::string> Start();
   void Reload(const schema::HostPlatformSettingsT& next);
-  ServicePolicy MakePolicy() const;
   std::unique_ptr<TableFollower> Follow(const std::string& table,
                                         TableEvents events,
                                         Duration longest_pause);
@@ -129,26 +92,6 @@
   OperatorServer readiness;
 };
 
-namespace {
-
-schema::MemberUpdateT DescribeSelf(const schema::EntrySettingsT& settings,
-                                   const Clock& clock) {
-  schema::MemberUpdateT self;
-  self.instance = settings.instance;
-  self.incarnation = static_cast<std::uint64_t>(clock.Unix().count());
-  self.started = self.incarnation;
-  self.state = schema::MemberState::Alive;
-  self.peer_address = settings.host_platform->peer_listen;
-  self.caller_address = settings.caller_advertise.empty()
-                            ? settings.caller_listen
-                            : settings.caller_advertise;
-  self.failure_domain = settings.failure_domain;
-  self.region = settings.region;
-  return self;
-}
-
-}  // namespace
-
 HostControl::State::State(const schema::EntrySettingsT& settings,
                           HostAdapter adapter,
                           EntryServer& entry,
@@ -196,21 +139,6 @@
   return reply;
 }
 
-ServicePolicy HostControl::State::MakePolicy() const {
-  constexpr double kPercent = 100;
-  ServicePolicy policy;
-  policy.floor_percent =
-      static_cast<std::uint32_t>(this->host.floor_share * kPercent);
-  policy.progress_timeout = kUnboundedProgress;
-  RetryWindow window;
-  window.ratio = this->host.retry_budget_ratio;
-  window.extra = this->host.retry_budget_extra;
-  window.window = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(this->host.retry_budget_window_s));
-  policy.retry_window = window;
-  return policy;
-}
-
 std::unique_ptr<TableFollower> HostControl::State::Follow(
     const std::string& table,
     TableEvents events,
@@ -305,8 +233,8 @@
   if (row.key != this->adapter.configuration_key || row.removed) {
     return;
   }
-  auto configuration =
-      this->adapter.read_configuration(row.value, this->MakePolicy());
+  auto configuration = this->adapter.read_configuration(
+      row.value, MakeServicePolicy(this->host));
   if (!configuration) {
     LogEvent("configuration_unreadable", LogSeverity::kError)
         .With("row_version", row.version)
@@ -396,43 +324,13 @@
 void HostControl::State::UpdateFleet() {
   const TimePoint now = this->clock.Now();
   this->registry.OnTimer(now);
-  auto fleet = std::make_unique<schema::FleetUpdateT>();
-  fleet->sequence = ++this->sequence;
-  fleet->fleet_size =
+  const std::uint32_t fleet_size =
       this->members_read
           ? static_cast<std::uint32_t>(this->directory.Members().size())
           : kAssumedMembers;
-  for (const auto& [instance, member] : this->directory.Members()) {
-    auto copy = std::make_unique<schema::FleetMemberT>();
-    copy->instance = member.instance;
-    copy->caller_address = member.caller_address;
-    copy->failure_domain = member.failure_domain;
-    copy->region = member.region;
-    copy->state = member.state;
-    fleet->members.push_back(std::move(copy));
-  }
-  std::map<ServiceName, std::unique_ptr<schema::ServiceFleetStateT>> services;
-  for (const auto& [name, held] : this->registry.Backends()) {
-    auto& service = services[held.backend.service];
-    if (!service) {
-      service = std::make_unique<schema::ServiceFleetStateT>();
-      service->service = held.backend.service.Value();
-    }
-    auto backend = std::make_unique<schema::DiscoveredBackendServerT>();
-    backend->id = held.backend.id.Value();
-    backend->address = held.backend.server.address;
-    backend->expected_instance = held.backend.server.expected_instance;
-    backend->failure_domain = held.backend.server.failure_domain.Value();
-    backend->slots = held.backend.server.slots;
-    backend->cold = held.cold_until > now;
-    if (held.backend.leaving) {
-      service->leaving.push_back(backend->id);
-    }
-    service->discovered.push_back(std::move(backend));
-  }
-  for (auto& [name, service] : services) {
-    fleet->services.push_back(std::move(service));
-  }
+  auto fleet =
+      BuildFleetUpdate(this->registry, this->directory, fleet_size, now);
+  fleet->sequence = ++this->sequence;
   this->entry.ApplyFleet(std::move(fleet));
   this->ArmTimer();
 }
@@ -477,14 +375,13 @@
   std::vector<schema::BackendEvidenceT> notable;
   std::copy_if(evidence.begin(), evidence.end(), std::back_inserter(notable),
                [](const auto& each) { return each.avoided; });
-  schema::OutcomeShareT head;
-  head.instance = this->self.instance;
-  head.configuration_row = this->configurations->NewestRow().Value();
-  head.registrations_row = this->registrations->NewestRow().Value();
-  head.members_row = this->members->NewestRow().Value();
-  const std::string near = SerializeShare(head, evidence);
+  const KnownRows known{this->configurations->NewestRow(),
+                        this->registrations->NewestRow(),
+                        this->members->NewestRow()};
+  const std::string near = SerializeShare(this->self.instance, known, evidence);
   const std::string distant =
-      notable.empty() ? "" : SerializeShare(head, notable);
+      notable.empty() ? ""
+                      : SerializeShare(this->self.instance, known, notable);
   for (const auto& [instance, member] : this->directory.Members()) {
     if (member.instance == this->self.instance) {
       continue;
@@ -498,28 +395,25 @@
 }
 
 void HostControl::State::OnDatagram(const std::string& bytes) {
-  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
-  flatbuffers::Verifier verifier(data, bytes.size());
-  if (!verifier.VerifyBuffer<schema::OutcomeShare>(nullptr)) {
+  const auto share = ParseShare(bytes);
+  if (!share) {
     LogEvent("peer_message_malformed", LogSeverity::kWarning)
         .With("bytes", bytes.size());
     return;
   }
-  schema::OutcomeShareT share;
-  flatbuffers::GetRoot<schema::OutcomeShare>(data)->UnPackTo(&share);
-  this->directory.OnHeard(InstanceId(share.instance), this->clock.Now());
-  this->configurations->Expect(RowVersion(share.configuration_row));
-  const RowVersion others_know(share.registrations_row);
+  this->directory.OnHeard(InstanceId(share->instance), this->clock.Now());
+  this->configurations->Expect(RowVersion(share->configuration_row));
+  const RowVersion others_know(share->registrations_row);
   if (others_know > this->registrations->Version()) {
     this->registry.OnOthersAhead(this->clock.Now());
   }
   this->registrations->Expect(others_know);
-  this->members->Expect(RowVersion(share.members_row));
+  this->members->Expect(RowVersion(share->members_row));
   std::vector<schema::BackendEvidenceT> evidence;
-  for (const auto& each : share.outcomes) {
+  for (const auto& each : share->outcomes) {
     evidence.push_back(*each);
   }
-  this->entry.ApplyEvidence(share.instance, evidence);
+  this->entry.ApplyEvidence(share->instance, evidence);
 }
 
 net::awaitable<void> HostControl::State::Register() {
