--- a/src/agent_state.cc
+++ b/src/agent_state.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "src/fleet_state.h"
 #include "src/log_event.h"
 #include "src/rendezvous.h"
 
@@ -40,18 +41,6 @@
          std::to_string(identity.incarnation.Value());
 }
 
-std::unique_ptr<schema::FleetMemberT> MakeFleetMember(
-    const schema::MemberUpdateT& info) {
-  auto member = std::make_unique<schema::FleetMemberT>();
-  member->instance = info.instance;
-  member->caller_address = info.caller_address;
-  member->failure_domain = info.failure_domain;
-  member->region = info.region;
-  member->state = info.state;
-  member->load_permille = info.load_permille;
-  return member;
-}
-
 std::vector<InstanceId> BestInstances(const std::string& key,
                                       const std::vector<InstanceId>& instances,
                                       std::size_t count) {
--- a/src/fleet_state.cc
+++ b/src/fleet_state.cc
@@ -6,17 +6,6 @@
 namespace acacia {
 namespace {
 
-std::unique_ptr<schema::FleetMemberT> DescribeMember(
-    const schema::MemberUpdateT& member) {
-  auto described = std::make_unique<schema::FleetMemberT>();
-  described->instance = member.instance;
-  described->caller_address = member.caller_address;
-  described->failure_domain = member.failure_domain;
-  described->region = member.region;
-  described->state = member.state;
-  return described;
-}
-
 std::unique_ptr<schema::DiscoveredBackendServerT> DescribeBackend(
     const BackendRegistry::Held& held,
     TimePoint now) {
@@ -33,6 +22,18 @@
 
 }  // namespace
 
+std::unique_ptr<schema::FleetMemberT> MakeFleetMember(
+    const schema::MemberUpdateT& info) {
+  auto member = std::make_unique<schema::FleetMemberT>();
+  member->instance = info.instance;
+  member->caller_address = info.caller_address;
+  member->failure_domain = info.failure_domain;
+  member->region = info.region;
+  member->state = info.state;
+  member->load_permille = info.load_permille;
+  return member;
+}
+
 std::unique_ptr<schema::FleetUpdateT> BuildFleetUpdate(
     const BackendRegistry& registry,
     const MemberDirectory& directory,
@@ -41,7 +42,7 @@
   auto fleet = std::make_unique<schema::FleetUpdateT>();
   fleet->fleet_size = fleet_size;
   for (const auto& [instance, member] : directory.Members()) {
-    fleet->members.push_back(DescribeMember(member));
+    fleet->members.push_back(MakeFleetMember(member));
   }
   std::map<ServiceName, std::unique_ptr<schema::ServiceFleetStateT>> services;
   for (const auto& [name, held] : registry.Backends()) {
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -13,6 +13,10 @@
 
 namespace acacia {
 
+// What an entry is told of a member.
+std::unique_ptr<schema::FleetMemberT> MakeFleetMember(
+    const schema::MemberUpdateT& info);
+
 // `fleet_size` entries share the fleet-wide bounds.
 std::unique_ptr<schema::FleetUpdateT> BuildFleetUpdate(
     const BackendRegistry& registry,
