Let two entries of each failure domain read the store for the others

Change: src/store_readers decides who reads (the first two heard by name), src/entry_peers passes changes on, and TableFollower takes them while a reader claims to have read without a gap since before what this entry holds. Listeners ask the store when no claim is fresh for 1.2 s, or when a change that others know of does not arrive in 0.6 s. Ruled out: rows over 16 KB in messages (links of 10 Mbit/s), claims without the version since which they hold (both readers restarted together would hide a removal). A test that read half of one message as another was replaced: FlatBuffers carry no type, so each parser now gets half of its own.

--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -1,17 +1,17 @@
 #include "src/host_control.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
-#include <iterator>
 #include <utility>
 
+#include "src/entry_peers.h"
 #include "src/fleet_state.h"
 #include "src/host_policy.h"
 #include "src/log_event.h"
 #include "src/member_directory.h"
 #include "src/operator_server.h"
 #include "src/peer_messages.h"
-#include "src/peer_transport.h"
 #include "src/random_source.h"
 #include "src/table_follower.h"
 
@@ -24,9 +24,6 @@
 // Outcomes of this time are told to the other entries together: short beside
 // the seconds that a fault lasts, long beside the cost of a wake-up.
 constexpr std::chrono::milliseconds kShareInterval{40};
-// Without outcomes the entries of a failure domain hear this often that the
-// sender lives.
-constexpr std::chrono::milliseconds kHeartbeat{500};
 // One table is asked often enough to find a store that is back; the others
 // follow it at once, and ask less often by themselves.
 constexpr Duration kLongestOtherPause = std::chrono::milliseconds(1200);
@@ -46,18 +43,22 @@
 
   tl::expected<void, std::string> Start();
   void Reload(const schema::HostPlatformSettingsT& next);
-  std::unique_ptr<TableFollower> Follow(const std::string& table,
-                                        TableEvents events,
-                                        Duration longest_pause);
+  void Follow(FollowedTable table, const std::string& name, TableEvents events);
   void OnConfigurationRow(const TableRow& row);
   void OnRegistrations(const TableRows& rows, bool whole);
+  void OnRegistrationsAvailable(bool available);
   void OnMembers(const TableRows& rows, bool whole);
   std::optional<RegisteredBackend> ReadRegistration(const TableRow& row);
   void UpdateFleet();
   void ArmTimer();
   net::awaitable<void> ShareOutcomes();
-  void SendShare(const std::vector<schema::BackendEvidenceT>& evidence);
-  void OnDatagram(const std::string& bytes);
+  TableFollower& Follower(FollowedTable table) const {
+    return *this->followers[At(table)];
+  }
+  TableVersions Known() const;
+  TableVersions ReadSince() const;
+  void OnKnown(const TableVersions& rows);
+  void TakeRole();
   net::awaitable<void> Register();
   net::awaitable<void> Unregister();
   void OnStop();
@@ -78,16 +79,14 @@
   bool registry_read = false;
   bool members_read = false;
   bool stopping = false;
-  TimePoint shared_at{};
   std::uint64_t sequence = 0;
   Generation generation;
   std::unique_ptr<RowStore> own_rows;
   // Version of this entry's own row.
   RowVersion own_row;
-  std::unique_ptr<TableFollower> configurations;
-  std::unique_ptr<TableFollower> registrations;
-  std::unique_ptr<TableFollower> members;
-  PeerTransport peers;
+  std::array<std::unique_ptr<TableFollower>, std::tuple_size_v<TableVersions>>
+      followers;
+  EntryPeers peers;
   OperatorServer lookups;
   OperatorServer readiness;
 };
@@ -107,9 +106,18 @@
       self(DescribeSelf(settings, clock)),
       own_rows(this->adapter.make_store()),
       peers(strand,
-            [this](const PeerAddress& /*from*/, const std::string& bytes) {
-              this->OnDatagram(bytes);
-            }),
+            self,
+            directory,
+            clock,
+            {[this](const TableVersions& rows) { this->OnKnown(rows); },
+             [this](FollowedTable table,
+                    RowVersion after,
+                    const TableRows& changes) {
+               this->Follower(table).TakeRelayed(after, changes);
+             },
+             [this](const std::string& from, const auto& evidence) {
+               this->entry.ApplyEvidence(from, evidence);
+             }}),
       lookups(strand,
               "",
               {{this->adapter.lookup_path,
@@ -139,13 +147,17 @@
   return reply;
 }
 
-std::unique_ptr<TableFollower> HostControl::State::Follow(
-    const std::string& table,
-    TableEvents events,
-    Duration longest_pause) {
-  return std::make_unique<TableFollower>(
-      this->strand, table, this->adapter.make_store(), std::move(events),
-      this->random, longest_pause);
+void HostControl::State::Follow(FollowedTable table,
+                                const std::string& name,
+                                TableEvents events) {
+  events.on_fetched = [this, table](RowVersion after,
+                                    const TableRows& changes) {
+    this->peers.PassOn(table, after, changes);
+    this->peers.ShareSoon();
+  };
+  this->followers[At(table)] = std::make_unique<TableFollower>(
+      this->strand, name, this->adapter.make_store(), std::move(events),
+      this->random);
 }
 
 tl::expected<void, std::string> HostControl::State::Start() {
@@ -156,8 +168,7 @@
       return listening;
     }
   }
-  if (auto listening = this->peers.Listen(this->host.peer_listen, "");
-      !listening) {
+  if (auto listening = this->peers.Listen(this->host.peer_listen); !listening) {
     return listening;
   }
   const auto each_configuration = [this](const TableRows& rows) {
@@ -165,32 +176,18 @@
       this->OnConfigurationRow(row);
     }
   };
-  this->configurations =
-      this->Follow(this->adapter.configuration_table,
-                   {each_configuration, each_configuration, [](bool) {}},
-                   kLongestOtherPause);
-  this->registrations = this->Follow(
-      this->adapter.registrations_table,
+  this->Follow(FollowedTable::Configuration, this->adapter.configuration_table,
+               {each_configuration, each_configuration, [](bool) {}});
+  this->Follow(
+      FollowedTable::Registrations, this->adapter.registrations_table,
       {[this](const TableRows& rows) { this->OnRegistrations(rows, true); },
        [this](const TableRows& rows) { this->OnRegistrations(rows, false); },
-       [this](bool available) {
-         this->registry.OnStoreAvailable(available, this->clock.Now());
-         if (available) {
-           this->configurations->Hurry();
-           this->members->Hurry();
-         }
-         this->ArmTimer();
-       }},
-      TableFollower::kLongestPause);
-  this->members = this->Follow(
-      this->adapter.members_table,
-      {[this](const TableRows& rows) { this->OnMembers(rows, true); },
-       [this](const TableRows& rows) { this->OnMembers(rows, false); },
-       [](bool) {}},
-      kLongestOtherPause);
-  for (TableFollower* follower :
-       {this->configurations.get(), this->registrations.get(),
-        this->members.get()}) {
+       [this](bool available) { this->OnRegistrationsAvailable(available); }});
+  this->Follow(FollowedTable::Members, this->adapter.members_table,
+               {[this](const TableRows& rows) { this->OnMembers(rows, true); },
+                [this](const TableRows& rows) { this->OnMembers(rows, false); },
+                [](bool) {}});
+  for (const auto& follower : this->followers) {
     follower->Start();
   }
   net::co_spawn(
@@ -208,6 +205,15 @@
   return {};
 }
 
+void HostControl::State::OnRegistrationsAvailable(bool available) {
+  this->registry.OnStoreAvailable(available, this->clock.Now());
+  if (available) {
+    this->Follower(FollowedTable::Configuration).Hurry();
+    this->Follower(FollowedTable::Members).Hurry();
+  }
+  this->ArmTimer();
+}
+
 void HostControl::State::Reload(const schema::HostPlatformSettingsT& next) {
   schema::HostPlatformSettingsT merged = next;
   const bool moved = next.store_address != this->host.store_address ||
@@ -357,63 +363,59 @@
     pause.expires_after(kShareInterval);
     co_await pause.async_wait(kAwait);
     const auto evidence = this->entry.TakeEvidence();
-    const TimePoint now = this->clock.Now();
+    this->TakeRole();
     // One that does not serve falls silent, so that lookups leave it out also
     // while the store, and with it the members' table, is away.
-    const bool is_due = now - this->shared_at >= kHeartbeat;
-    if (this->IsReady() && (!evidence.empty() || is_due)) {
-      this->shared_at = now;
-      this->SendShare(evidence);
+    if (this->IsReady()) {
+      this->peers.Share(evidence, this->Known(), this->ReadSince());
     }
   }
 }
 
-// Entries of the same failure domain mostly use the same backend servers and
-// hear everything; the others hear what concerns suspects.
-void HostControl::State::SendShare(
-    const std::vector<schema::BackendEvidenceT>& evidence) {
-  std::vector<schema::BackendEvidenceT> notable;
-  std::copy_if(evidence.begin(), evidence.end(), std::back_inserter(notable),
-               [](const auto& each) { return each.avoided; });
-  const KnownRows known{this->configurations->NewestRow(),
-                        this->registrations->NewestRow(),
-                        this->members->NewestRow()};
-  const std::string near = SerializeShare(this->self.instance, known, evidence);
-  const std::string distant =
-      notable.empty() ? ""
-                      : SerializeShare(this->self.instance, known, notable);
-  for (const auto& [instance, member] : this->directory.Members()) {
-    if (member.instance == this->self.instance) {
-      continue;
-    }
-    const bool is_near = member.failure_domain == this->self.failure_domain;
-    const std::string& bytes = is_near ? near : distant;
-    if (!bytes.empty()) {
-      this->peers.SendDatagram(PeerAddress(member.peer_address), bytes);
-    }
-  }
+TableVersions HostControl::State::Known() const {
+  TableVersions known;
+  std::transform(this->followers.begin(), this->followers.end(), known.begin(),
+                 [](const auto& each) { return each->NewestRow(); });
+  return known;
 }
 
-void HostControl::State::OnDatagram(const std::string& bytes) {
-  const auto share = ParseShare(bytes);
-  if (!share) {
-    LogEvent("peer_message_malformed", LogSeverity::kWarning)
-        .With("bytes", bytes.size());
-    return;
+// What this entry claims to read for others; nothing while it listens itself.
+TableVersions HostControl::State::ReadSince() const {
+  TableVersions since;
+  if (this->peers.Role() != ReaderRole::kListener && !this->stopping) {
+    std::transform(this->followers.begin(), this->followers.end(),
+                   since.begin(),
+                   [](const auto& each) { return each->ReadSince(); });
   }
-  this->directory.OnHeard(InstanceId(share->instance), this->clock.Now());
-  this->configurations->Expect(RowVersion(share->configuration_row));
-  const RowVersion others_know(share->registrations_row);
-  if (others_know > this->registrations->Version()) {
+  return since;
+}
+
+void HostControl::State::OnKnown(const TableVersions& rows) {
+  const TableVersions before = this->Known();
+  if (rows[At(FollowedTable::Registrations)] >
+      this->Follower(FollowedTable::Registrations).Version()) {
     this->registry.OnOthersAhead(this->clock.Now());
   }
-  this->registrations->Expect(others_know);
-  this->members->Expect(RowVersion(share->members_row));
-  std::vector<schema::BackendEvidenceT> evidence;
-  for (const auto& each : share->outcomes) {
-    evidence.push_back(*each);
+  for (std::size_t i = 0; i < rows.size(); ++i) {
+    this->followers[i]->Expect(rows[i]);
+  }
+  // Readers pass the news on at once; among listeners it would only multiply.
+  if (this->Known() != before && this->peers.Role() != ReaderRole::kListener) {
+    this->peers.ShareSoon();
+  }
+}
+
+// Listeners ask the store less often while it is away: readers say when it is
+// back.
+void HostControl::State::TakeRole() {
+  const bool listens = this->peers.Role() == ReaderRole::kListener;
+  for (const FollowedTable table : schema::EnumValuesFollowedTable()) {
+    TableFollower& follower = this->Follower(table);
+    follower.SetOthersRead(this->peers.OthersRead(table, follower.Version()));
+    const bool is_prompt = table == FollowedTable::Registrations && !listens;
+    follower.SetLongestPause(is_prompt ? TableFollower::kLongestPause
+                                       : kLongestOtherPause);
   }
-  this->entry.ApplyEvidence(share->instance, evidence);
 }
 
 net::awaitable<void> HostControl::State::Register() {
@@ -445,6 +447,9 @@
 void HostControl::State::OnStop() {
   this->stopping = true;
   this->directory.Leave();
+  // Listeners look for another reader at once.
+  this->peers.ShareSoon();
+  this->peers.Share({}, this->Known(), this->ReadSince());
   net::co_spawn(
       this->strand,
       [](std::shared_ptr<State> state) -> net::awaitable<void> {
--- a/src/member_directory.cc
+++ b/src/member_directory.cc
@@ -51,6 +51,23 @@
          member.instance != this->self.instance;
 }
 
+bool MemberDirectory::IsNear(const InstanceId& instance) const {
+  const auto found = this->members.find(instance);
+  return found != this->members.end() && this->IsNear(found->second);
+}
+
+std::vector<InstanceId> MemberDirectory::HeardNear(TimePoint now) const {
+  std::vector<InstanceId> near;
+  for (const auto& [instance, member] : this->members) {
+    const auto found = this->heard.find(instance);
+    if (this->IsNear(member) && found != this->heard.end() &&
+        now - found->second <= kSilence) {
+      near.push_back(instance);
+    }
+  }
+  return near;
+}
+
 // One that was never heard may only just have started, or this entry has.
 bool MemberDirectory::IsSilent(const schema::MemberUpdateT& member,
                                TimePoint now) const {
--- a/src/member_directory.h
+++ b/src/member_directory.h
@@ -30,6 +30,9 @@
   // A message came from this instance.
   void OnHeard(const InstanceId& instance, TimePoint now);
 
+  // The other entries of this failure domain that were heard lately, by name.
+  std::vector<InstanceId> HeardNear(TimePoint now) const;
+
   // Caller addresses for a caller in `domain`: the live entries of its own
   // failure domain when there are enough of them, otherwise all live ones.
   std::vector<std::string> AddressesFor(const FailureDomain& domain,
@@ -42,6 +45,8 @@
     return this->members;
   }
 
+  bool IsNear(const InstanceId& instance) const;
+
   // Takes this entry out of lookups.
   void Leave() { this->leaving = true; }
 
--- a/src/peer_messages.cc
+++ b/src/peer_messages.cc
@@ -5,31 +5,86 @@
 #include "src/flat_table.h"
 
 namespace acacia {
+
 std::string SerializeMember(const schema::MemberUpdateT& member) {
   return PackTable<schema::MemberUpdate>(member);
 }
 
 std::optional<schema::MemberUpdateT> ParseMember(const std::string& bytes) {
-  return UnpackTable<schema::MemberUpdate>(bytes);
+  auto member = UnpackTable<schema::MemberUpdate>(bytes);
+  if (member && member->instance.empty()) {
+    return std::nullopt;
+  }
+  return member;
 }
 
 std::string SerializeShare(
-    const std::string& instance,
-    const KnownRows& known,
+    const ShareHeading& heading,
     const std::vector<schema::BackendEvidenceT>& evidence) {
-  schema::OutcomeShareT share;
-  share.instance = instance;
-  share.configuration_row = known.configuration.Value();
-  share.registrations_row = known.registrations.Value();
-  share.members_row = known.members.Value();
+  schema::EntryMessageT message;
+  message.share = std::make_unique<schema::OutcomeShareT>();
+  schema::OutcomeShareT& share = *message.share;
+  share.instance = heading.instance;
+  const auto& known = heading.known;
+  share.configuration_row = known[At(FollowedTable::Configuration)].Value();
+  share.registrations_row = known[At(FollowedTable::Registrations)].Value();
+  share.members_row = known[At(FollowedTable::Members)].Value();
+  const auto& since = heading.since;
+  share.configuration_since = since[At(FollowedTable::Configuration)].Value();
+  share.registrations_since = since[At(FollowedTable::Registrations)].Value();
+  share.members_since = since[At(FollowedTable::Members)].Value();
   for (const schema::BackendEvidenceT& each : evidence) {
     share.outcomes.push_back(std::make_unique<schema::BackendEvidenceT>(each));
   }
-  return PackTable<schema::OutcomeShare>(share);
+  return PackTable<schema::EntryMessage>(message);
+}
+
+std::string SerializeRelayed(FollowedTable table,
+                             RowVersion after,
+                             const TableRows& changes) {
+  schema::EntryMessageT message;
+  message.relayed = std::make_unique<schema::RelayedRowsT>();
+  schema::RelayedRowsT& relayed = *message.relayed;
+  relayed.table = table;
+  relayed.after = after.Value();
+  relayed.version = changes.version.Value();
+  for (const TableRow& row : changes.rows) {
+    auto out = std::make_unique<schema::RelayedRowT>();
+    out->key = row.key;
+    out->value.assign(row.value.begin(), row.value.end());
+    out->version = row.version.Value();
+    out->removed = row.removed;
+    relayed.rows.push_back(std::move(out));
+  }
+  return PackTable<schema::EntryMessage>(message);
+}
+
+std::optional<schema::EntryMessageT> ParseEntryMessage(
+    const std::string& bytes) {
+  return UnpackTable<schema::EntryMessage>(bytes);
+}
+
+TableVersions KnownIn(const schema::OutcomeShareT& share) {
+  return {RowVersion(share.configuration_row),
+          RowVersion(share.registrations_row), RowVersion(share.members_row)};
 }
 
-std::optional<schema::OutcomeShareT> ParseShare(const std::string& bytes) {
-  return UnpackTable<schema::OutcomeShare>(bytes);
+TableVersions SinceIn(const schema::OutcomeShareT& share) {
+  return {RowVersion(share.configuration_since),
+          RowVersion(share.registrations_since),
+          RowVersion(share.members_since)};
+}
+
+TableRows ReadRelayed(const schema::RelayedRowsT& relayed) {
+  TableRows changes;
+  changes.version = RowVersion(relayed.version);
+  for (const auto& each : relayed.rows) {
+    changes.rows.push_back({each->key,
+                            {each->value.begin(), each->value.end()},
+                            RowVersion(each->version),
+                            each->removed});
+  }
+  return changes;
 }
 
 }  // namespace acacia
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -3,32 +3,51 @@
 #ifndef SRC_PEER_MESSAGES_H_
 #define SRC_PEER_MESSAGES_H_
 
+#include <array>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "src/generated/peer_generated.h"
 #include "src/ids.h"
+#include "src/row_store.h"
 
 namespace acacia {
 
-// The newest row that an entry knows of each table.
-struct KnownRows {
-  RowVersion configuration;
-  RowVersion registrations;
-  RowVersion members;
-};
+using schema::FollowedTable;
+// One version for each table that entries follow; see At.
+using TableVersions =
+    std::array<RowVersion, static_cast<std::size_t>(FollowedTable::MAX) + 1>;
+
+constexpr std::size_t At(FollowedTable table) {
+  return static_cast<std::size_t>(table);
+}
 
 std::string SerializeMember(const schema::MemberUpdateT& member);
 // Nothing when the bytes are no member.
 std::optional<schema::MemberUpdateT> ParseMember(const std::string& bytes);
 
+struct ShareHeading {
+  std::string instance;
+  // The newest row that the sender knows of, in each table.
+  TableVersions known;
+  // Since when it has read each table without a gap; 0 while it does not.
+  TableVersions since;
+};
+
 std::string SerializeShare(
-    const std::string& instance,
-    const KnownRows& known,
+    const ShareHeading& heading,
     const std::vector<schema::BackendEvidenceT>& evidence);
-// Nothing when the bytes are no share of outcomes.
-std::optional<schema::OutcomeShareT> ParseShare(const std::string& bytes);
+std::string SerializeRelayed(FollowedTable table,
+                             RowVersion after,
+                             const TableRows& changes);
+// Nothing when the bytes are no message between entries.
+std::optional<schema::EntryMessageT> ParseEntryMessage(
+    const std::string& bytes);
+TableVersions KnownIn(const schema::OutcomeShareT& share);
+TableVersions SinceIn(const schema::OutcomeShareT& share);
+TableRows ReadRelayed(const schema::RelayedRowsT& relayed);
 
 }  // namespace acacia
 
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -31,6 +31,11 @@
   RowVersion version;
 };
 
+// The newest of two versions.
+inline RowVersion Newest(RowVersion a, RowVersion b) {
+  return a < b ? b : a;
+}
+
 enum class RowStoreError {
   // The call had no effect.
   kUnavailable,
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio.hpp>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -39,6 +40,9 @@
   net::awaitable<void> Run();
   net::awaitable<void> ReadWhole();
   net::awaitable<void> ReadChanges();
+  net::awaitable<void> AwaitOthers();
+  bool MayRelyOnOthers() const;
+  void Accept(const TableRows& changes);
   net::awaitable<void> Pause(std::chrono::milliseconds duration);
   net::awaitable<void> OnFailure(RowStoreError error);
   void GiveUpWait();
@@ -55,15 +59,25 @@
   // Nothing has been read yet, or the history has a gap.
   bool needs_whole = true;
   std::optional<RowVersion> version;
+  // This entry has read the table itself without a gap since then.
+  std::optional<RowVersion> read_since;
   RowVersion newest_row;
+  // The last change to this table that this entry can tell of: none came
+  // between it and `version`.
+  RowVersion last_change;
   // The newest version that others know of.
   RowVersion expected;
   bool given_up = false;
+  // Another entry reads changes for this one.
+  bool others_read = false;
+  bool awaits_others = false;
+  // A change that others know of has not arrived from them.
+  bool is_behind = false;
   bool in_call = false;
   bool awaits_arrival = false;
   std::optional<bool> available;
   Duration failure_pause = kFirstPause;
-  Duration longest_pause{};
+  Duration longest_pause = kLongestPause;
   bool is_pausing_after_failure = false;
   bool stopped = false;
 };
@@ -72,6 +86,8 @@
   while (!this->stopped) {
     if (this->needs_whole) {
       co_await this->ReadWhole();
+    } else if (this->MayRelyOnOthers()) {
+      co_await this->AwaitOthers();
     } else {
       co_await this->ReadChanges();
     }
@@ -98,11 +114,42 @@
   }
   this->needs_whole = false;
   this->version = rows->version;
+  this->last_change = rows->version;
+  this->read_since = rows->version;
+  this->is_behind = this->is_behind && *this->version < this->expected;
   this->failure_pause = kFirstPause;
   this->NoteRows(*rows);
   this->events.on_whole(*rows);
 }
 
+bool TableFollower::State::MayRelyOnOthers() const {
+  return this->others_read && !this->is_behind;
+}
+
+net::awaitable<void> TableFollower::State::AwaitOthers() {
+  this->SetAvailable(true);
+  this->awaits_others = true;
+  this->read_since.reset();
+  this->timer.expires_at(net::steady_timer::time_point::max());
+  co_await this->timer.async_wait(kAwait);
+  this->awaits_others = false;
+}
+
+// Takes what is newer than what is held.
+void TableFollower::State::Accept(const TableRows& changes) {
+  TableRows news;
+  news.version = changes.version;
+  std::copy_if(
+      changes.rows.begin(), changes.rows.end(), std::back_inserter(news.rows),
+      [this](const TableRow& row) { return row.version > *this->version; });
+  this->version = changes.version;
+  this->is_behind = this->is_behind && *this->version < this->expected;
+  this->NoteRows(news);
+  if (!news.rows.empty()) {
+    this->events.on_changes(news);
+  }
+}
+
 net::awaitable<void> TableFollower::State::ReadChanges() {
   const Duration wait =
       this->available == false
@@ -110,6 +157,9 @@
           : kLeastWait + std::chrono::duration_cast<Duration>(
                              kWaitSpread * this->random.Fraction());
   this->in_call = true;
+  if (!this->read_since) {
+    this->read_since = this->version;
+  }
   const auto changes =
       co_await this->store->AwaitChanges(this->table, *this->version, wait);
   this->in_call = false;
@@ -131,10 +181,11 @@
     co_await this->Pause(kBatchPause);
     co_return;
   }
-  this->version = changes->version;
-  this->NoteRows(*changes);
+  if (this->events.on_fetched && !changes->rows.empty()) {
+    this->events.on_fetched(this->last_change, *changes);
+  }
+  this->Accept(*changes);
   if (!changes->rows.empty()) {
-    this->events.on_changes(*changes);
     co_await this->Pause(kBatchPause);
   }
 }
@@ -164,8 +215,8 @@
 
 void TableFollower::State::NoteRows(const TableRows& rows) {
   for (const TableRow& row : rows.rows) {
-    this->newest_row = std::max(this->newest_row, row.version,
-                                [](auto a, auto b) { return a < b; });
+    this->newest_row = Newest(this->newest_row, row.version);
+    this->last_change = Newest(this->last_change, row.version);
   }
 }
 
@@ -173,13 +224,18 @@
 void TableFollower::State::GiveUpWait() {
   // Between calls there is nothing to give up: the next one is sent soon.
   const bool arrived = this->version && this->expected <= *this->version;
-  if (arrived || !this->in_call) {
+  if (arrived || !(this->in_call || this->awaits_others)) {
     return;
   }
   LogEvent("table_behind", LogSeverity::kWarning)
       .With("table", this->table)
       .With("version", this->version.value_or(RowVersion()))
       .With("others_know", this->expected);
+  if (this->awaits_others) {
+    this->is_behind = true;
+    this->timer.cancel();
+    return;
+  }
   this->given_up = true;
   this->store->Abort();
 }
@@ -205,13 +261,11 @@
                              std::string table,
                              std::unique_ptr<RowStore> store,
                              TableEvents events,
-                             RandomSource& random,
-                             Duration longest_pause)
+                             RandomSource& random)
     : state(std::make_shared<State>(executor, random)) {
   this->state->table = std::move(table);
   this->state->store = std::move(store);
   this->state->events = std::move(events);
-  this->state->longest_pause = longest_pause;
 }
 
 TableFollower::~TableFollower() {
@@ -240,13 +294,11 @@
   if (known) {
     return;
   }
-  if (version > state.expected) {
-    state.expected = version;
-  }
+  state.expected = Newest(state.expected, version);
   if (std::exchange(state.awaits_arrival, true)) {
     return;
   }
-  state.arrival.expires_after(kArrivalTime);
+  state.arrival.expires_after(state.awaits_others ? kRelayTime : kArrivalTime);
   state.arrival.async_wait([weak = std::weak_ptr<State>(this->state)](
                                const boost::system::error_code& error) {
     const auto self = weak.lock();
@@ -263,12 +315,39 @@
   }
 }
 
+void TableFollower::SetOthersRead(bool others_read) {
+  State& state = *this->state;
+  state.others_read = others_read;
+  if (!others_read && state.awaits_others) {
+    state.timer.cancel();
+  }
+}
+
+void TableFollower::TakeRelayed(RowVersion after, const TableRows& changes) {
+  State& state = *this->state;
+  const bool fits = !state.needs_whole && state.version &&
+                    after <= *state.version && changes.version > *state.version;
+  if (fits) {
+    state.Accept(changes);
+  }
+}
+
+void TableFollower::SetLongestPause(Duration pause) {
+  this->state->longest_pause = pause;
+}
+
+RowVersion TableFollower::ReadSince() const {
+  const State& state = *this->state;
+  return state.available == true ? state.read_since.value_or(RowVersion())
+                                 : RowVersion();
+}
+
 RowVersion TableFollower::Version() const {
   return this->state->version.value_or(RowVersion());
 }
 
 RowVersion TableFollower::NewestRow() const {
-  return this->state->newest_row;
+  return Newest(this->state->newest_row, this->state->expected);
 }
 
 }  // namespace acacia
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -1,7 +1,9 @@
 // Keeps up with one table of the store: reads it whole, then waits for changes.
 // What it hands on never goes back: an answer older than what was handed on
 // before is thrown away, and a reading after a gap in the history counts only
-// when it is at least as new.
+// when it is at least as new. While another entry reads the changes for this
+// one, it takes what that one passes on and asks the store only when a change
+// that others know of does not arrive.
 #ifndef SRC_TABLE_FOLLOWER_H_
 #define SRC_TABLE_FOLLOWER_H_
 
@@ -21,8 +23,11 @@
   // The whole table; rows that are not in it do not exist.
   std::function<void(const TableRows& rows)> on_whole;
   std::function<void(const TableRows& changes)> on_changes;
-  // The store answers, or answers no more; told on each change.
+  // The table is kept up to date, or no more; told on each change.
   std::function<void(bool available)> on_available;
+  // Changes that were read from the store, and all that came after that
+  // version; told before on_changes. May be left out.
+  std::function<void(RowVersion after, const TableRows& changes)> on_fetched{};
 };
 
 // Use on one strand. Calls back on the executor.
@@ -32,24 +37,36 @@
                 std::string table,
                 std::unique_ptr<RowStore> store,
                 TableEvents events,
-                RandomSource& random,
-                Duration longest_pause = kLongestPause);
+                RandomSource& random);
   ~TableFollower();
 
   void Start();
   void Stop();
-  // A change of this version exists. Unless it arrives within kArrivalTime, the
-  // call that waits is given up and the store is asked again.
+  // A change of this version exists. Unless it arrives within kArrivalTime, or
+  // kRelayTime while others read, the call that waits is given up and the store
+  // is asked again.
   void Expect(RowVersion version);
   // The store answers again: does not wait for the end of a pause.
   void Hurry();
+  // Another entry reads changes for this one, or does so no longer. Calls that
+  // wait go on; no new ones begin.
+  void SetOthersRead(bool others_read);
+  // What another entry read: all changes after that version of the store.
+  void TakeRelayed(RowVersion after, const TableRows& changes);
+  // Pauses after failed calls grow up to this.
+  void SetLongestPause(Duration pause);
   // Up to which version of the store the table is known.
   RowVersion Version() const;
-  // The newest row that was seen.
+  // The newest row that was seen or is known to others.
   RowVersion NewestRow() const;
+  // Since which version this entry has read the table without a gap; 0 while
+  // the store does not answer.
+  RowVersion ReadSince() const;
 
   static constexpr std::chrono::milliseconds kArrivalTime{250};
-  // Pauses after failed calls grow up to this.
+  // Longer than readers pause between two calls.
+  static constexpr std::chrono::milliseconds kRelayTime{600};
+  // The usual bound of pauses.
   static constexpr std::chrono::milliseconds kLongestPause{250};
 
  private:
--- a/test/correctness/fleet_state_test.cc
+++ b/test/correctness/fleet_state_test.cc
@@ -36,16 +36,44 @@
   schema::BackendEvidenceT evidence;
   evidence.id = "i-1@7";
   evidence.failures = 2;
-  const std::string bytes = SerializeShare(
-      "e1", {RowVersion(1), RowVersion(2), RowVersion(3)}, {evidence});
-  const auto share = ParseShare(bytes);
-  REQUIRE(share);
-  CHECK(share->registrations_row == 2);
-  REQUIRE(share->outcomes.size() == 1);
-  CHECK(share->outcomes[0]->failures == 2);
-  CHECK_FALSE(ParseShare("garbage"));
-  CHECK_FALSE(ParseShare(""));
-  CHECK_FALSE(ParseMember(bytes.substr(0, bytes.size() / 2)));
+  const TableVersions known{RowVersion(1), RowVersion(2), RowVersion(3)};
+  const TableVersions since{RowVersion(4), RowVersion(5), RowVersion(6)};
+  const std::string bytes = SerializeShare({"e1", known, since}, {evidence});
+  const auto message = ParseEntryMessage(bytes);
+  REQUIRE(message);
+  REQUIRE(message->share);
+  CHECK_FALSE(message->relayed);
+  CHECK(message->share->registrations_row == 2);
+  CHECK(KnownIn(*message->share) == known);
+  CHECK(SinceIn(*message->share) == since);
+  REQUIRE(message->share->outcomes.size() == 1);
+  CHECK(message->share->outcomes[0]->failures == 2);
+  CHECK_FALSE(ParseEntryMessage("garbage"));
+  CHECK_FALSE(ParseEntryMessage(""));
+  CHECK_FALSE(ParseEntryMessage(bytes.substr(0, bytes.size() / 2)));
+  schema::MemberUpdateT member;
+  member.instance = "e1";
+  const std::string row = SerializeMember(member);
+  CHECK(ParseMember(row));
+  CHECK_FALSE(ParseMember(row.substr(0, row.size() / 2)));
+}
+
+TEST_CASE("changes that are passed on arrive as they were read") {
+  const TableRows changes{{{"a", std::string("x\0y", 3), RowVersion(8), false},
+                           {"b", "", RowVersion(9), true}},
+                          RowVersion(9)};
+  const auto message = ParseEntryMessage(
+      SerializeRelayed(FollowedTable::Members, RowVersion(7), changes));
+  REQUIRE(message);
+  REQUIRE(message->relayed);
+  CHECK(message->relayed->table == FollowedTable::Members);
+  CHECK(message->relayed->after == 7);
+  const TableRows read = ReadRelayed(*message->relayed);
+  CHECK(read.version == RowVersion(9));
+  REQUIRE(read.rows.size() == 2);
+  CHECK(read.rows[0].value == changes.rows[0].value);
+  CHECK(read.rows[0].version == RowVersion(8));
+  CHECK(read.rows[1].removed);
 }
 
 }  // namespace
--- /dev/null
+++ b/test/correctness/store_readers_test.cc
@@ -0,0 +1,99 @@
+// Which entries read the store for the others, and what their claims are worth.
+#include "src/store_readers.h"
+
+#include <catch2/catch.hpp>
+
+namespace acacia {
+namespace {
+
+const TimePoint kStart{std::chrono::seconds(1000)};
+const TableVersions kSince{RowVersion(10), RowVersion(10), RowVersion(10)};
+
+schema::MemberUpdateT Member(const std::string& name,
+                             const std::string& domain) {
+  schema::MemberUpdateT member;
+  member.instance = name;
+  member.failure_domain = domain;
+  return member;
+}
+
+// Five entries of one failure domain and one elsewhere, as "a2" sees them.
+struct ReadersFixture {
+  ReadersFixture() {
+    for (const std::string name : {"a0", "a1", "a3", "a4"}) {
+      this->directory.Put(Member(name, "a"));
+    }
+    this->directory.Put(Member("b0", "b"));
+  }
+
+  void HearFrom(const std::vector<std::string>& names) {
+    for (const std::string& name : names) {
+      this->directory.OnHeard(InstanceId(name), this->now);
+    }
+  }
+  bool Reads(RowVersion after) const {
+    return this->readers.SomeoneReads(FollowedTable::Registrations, after,
+                                      this->directory, this->now);
+  }
+
+  MemberDirectory directory{Member("a2", "a")};
+  StoreReaders readers{InstanceId("a2")};
+  TimePoint now = kStart;
+};
+
+TEST_CASE("an entry that hears nobody reads the store itself") {
+  ReadersFixture f;
+  CHECK(f.readers.Role(f.directory, f.now) == ReaderRole::kFirst);
+  f.HearFrom({"b0"});
+  CHECK(f.readers.Role(f.directory, f.now) == ReaderRole::kFirst);
+}
+
+TEST_CASE("the first two that are heard in a failure domain read for it") {
+  ReadersFixture f;
+  f.HearFrom({"a0", "a1", "a3", "a4"});
+  CHECK(f.readers.Role(f.directory, f.now) == ReaderRole::kListener);
+  f.now += 2 * MemberDirectory::kSilence;
+  f.HearFrom({"a1", "a4"});
+  CHECK(f.readers.Role(f.directory, f.now) == ReaderRole::kSecond);
+  f.now += 2 * MemberDirectory::kSilence;
+  f.HearFrom({"a3", "a4"});
+  CHECK(f.readers.Role(f.directory, f.now) == ReaderRole::kFirst);
+}
+
+TEST_CASE("a claim counts while it is renewed and only from near") {
+  ReadersFixture f;
+  f.readers.OnClaim(InstanceId("b0"), kSince, f.now);
+  CHECK_FALSE(f.Reads(RowVersion(20)));
+  f.readers.OnClaim(InstanceId("a0"), kSince, f.now);
+  CHECK(f.Reads(RowVersion(20)));
+  f.now += StoreReaders::kClaimLife + std::chrono::milliseconds(1);
+  CHECK_FALSE(f.Reads(RowVersion(20)));
+  f.readers.OnClaim(InstanceId("a0"), kSince, f.now);
+  CHECK(f.Reads(RowVersion(20)));
+  f.readers.OnClaim(InstanceId("a0"), {}, f.now);
+  CHECK_FALSE(f.Reads(RowVersion(20)));
+}
+
+TEST_CASE("a reader that began later than what is known here may have a gap") {
+  ReadersFixture f;
+  f.readers.OnClaim(InstanceId("a0"), kSince, f.now);
+  CHECK_FALSE(f.Reads(RowVersion(9)));
+  CHECK(f.Reads(RowVersion(10)));
+  f.readers.OnClaim(InstanceId("a1"), {RowVersion(3), {}, RowVersion(3)},
+                    f.now);
+  CHECK_FALSE(f.Reads(RowVersion(9)));
+}
+
+TEST_CASE("readers elsewhere are told what is known here") {
+  ReadersFixture f;
+  f.readers.OnClaim(InstanceId("b0"), kSince, f.now);
+  f.readers.OnClaim(InstanceId("a0"), kSince, f.now);
+  f.readers.OnClaim(InstanceId("unknown"), kSince, f.now);
+  CHECK(f.readers.DistantReaders(f.directory, f.now) ==
+        std::vector<InstanceId>{InstanceId("b0")});
+  f.now += 2 * StoreReaders::kDistantClaimLife;
+  CHECK(f.readers.DistantReaders(f.directory, f.now).empty());
+}
+
+}  // namespace
+}  // namespace acacia
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -72,7 +72,10 @@
         TableEvents{
             [this](const TableRows& rows) { this->wholes.push_back(rows); },
             [this](const TableRows& rows) { this->changes.push_back(rows); },
-            [this](bool available) { this->available.push_back(available); }},
+            [this](bool available) { this->available.push_back(available); },
+            [this](RowVersion after, const TableRows&) {
+              this->fetched_after.push_back(after);
+            }},
         this->random);
     this->follower->Start();
   }
@@ -80,6 +83,13 @@
     RunUntil(this->context, [&] { return this->calls.size() >= count; });
   }
 
+  // Lets everything happen that is due soon, a late change included.
+  void Settle() {
+    this->context.restart();
+    this->context.run_for(TableFollower::kRelayTime +
+                          std::chrono::milliseconds(400));
+  }
+
   net::io_context context;
   SeededRandom random{1};
   std::deque<HttpReply> script;
@@ -89,6 +99,7 @@
   std::vector<TableRows> wholes;
   std::vector<TableRows> changes;
   std::vector<bool> available;
+  std::vector<RowVersion> fetched_after;
 };
 
 TEST_CASE("a table is read whole, then its changes from that version on") {
@@ -145,6 +156,79 @@
   CHECK(f.follower->Version() == RowVersion(9));
 }
 
+TEST_CASE("while others read, changes are taken from them without a call") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Script(200, RowsJson(8, RowJson("b", 8)));
+  f.Follow();
+  f.AwaitCalls(2);
+  f.follower->SetOthersRead(true);
+  RunUntil(f.context, [&] { return f.changes.size() == 1; });
+  CHECK(f.follower->ReadSince() == RowVersion(7));
+  f.Settle();
+  CHECK(f.follower->ReadSince() == RowVersion());
+  f.follower->TakeRelayed(RowVersion(8),
+                          {{{"c", "", RowVersion(12), true}}, RowVersion(12)});
+  f.Settle();
+  CHECK(f.calls.size() == 2);
+  REQUIRE(f.changes.size() == 2);
+  CHECK(f.changes[1].rows[0].key == "c");
+  CHECK(f.follower->Version() == RowVersion(12));
+
+  f.follower->SetOthersRead(false);
+  f.AwaitCalls(3);
+  CHECK(f.calls[2].target.find("after=12&") != std::string::npos);
+}
+
+TEST_CASE("changes from others that leave a gap, or are old, are not taken") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Follow();
+  f.AwaitCalls(2);
+  const TableRows later{{{"c", "", RowVersion(12), false}}, RowVersion(12)};
+  f.follower->TakeRelayed(RowVersion(9), later);
+  CHECK(f.changes.empty());
+  const TableRows before{{{"a", "", RowVersion(5), false}}, RowVersion(6)};
+  f.follower->TakeRelayed(RowVersion(4), before);
+  CHECK(f.changes.empty());
+  CHECK(f.follower->Version() == RowVersion(7));
+  f.follower->TakeRelayed(RowVersion(6), later);
+  CHECK(f.changes.size() == 1);
+}
+
+TEST_CASE("a change that others do not pass on is read from the store") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Script(200, RowsJson(8, RowJson("b", 8)));
+  f.Follow();
+  f.AwaitCalls(2);
+  f.follower->SetOthersRead(true);
+  f.Settle();
+  REQUIRE(f.calls.size() == 2);
+  // Refused at first: it stays behind until the change has arrived.
+  f.Script(503, "");
+  f.Script(200, RowsJson(9, RowJson("c", 9)));
+  f.follower->Expect(RowVersion(9));
+  f.AwaitCalls(4);
+  RunUntil(f.context, [&] { return f.changes.size() == 2; });
+  f.Settle();
+  CHECK(f.calls.size() == 4);
+  CHECK(f.follower->Version() == RowVersion(9));
+}
+
+TEST_CASE("what was fetched is told with the last change before it") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Script(200, RowsJson(9, RowJson("b", 9)));
+  // Other tables changed.
+  f.Script(200, RowsJson(30, ""));
+  f.Script(200, RowsJson(31, RowJson("c", 31)));
+  f.Follow();
+  f.AwaitCalls(5);
+  CHECK(f.fetched_after ==
+        std::vector<RowVersion>{RowVersion(7), RowVersion(9)});
+}
+
 TEST_CASE("what is known already is not waited for") {
   FollowerFixture f;
   f.Script(200, RowsJson(7, RowJson("a", 5)));
