--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -31,6 +31,8 @@
   const Work& work;
   // Where the request has failed before.
   const std::vector<BackendId>& excluded;
+  // Should the attempt fail, the request can be tried again elsewhere.
+  bool can_retry = true;
 };
 
 class BackendChooser {
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -58,6 +58,7 @@
   bool MayRetryRefused(TimePoint now);
   bool HasSendsLeft(const RequestState& request) const;
   bool SpendRetry(TimePoint now);
+  bool CanRetry(const RequestState& request, TimePoint now);
   void Retry(RequestState& request, TimePoint now);
   void Refuse(RequestId request, ErrorKind not_run_kind);
   void Finish(RequestId request);
@@ -113,8 +114,8 @@
 }
 
 bool Dispatcher::State::TryStart(RequestState& request, TimePoint now) {
-  PooledBackend* backend =
-      this->pool->Pick({request.work, request.failed}, now);
+  PooledBackend* backend = this->pool->Pick(
+      {request.work, request.failed, this->CanRetry(request, now)}, now);
   if (backend == nullptr) {
     return false;
   }
@@ -235,6 +236,15 @@
          request.sends + request.running.size() < request.work.max_attempts;
 }
 
+// Whether an attempt may be risked where it is likelier to fail.
+bool Dispatcher::State::CanRetry(const RequestState& request, TimePoint now) {
+  const Work& work = request.work;
+  const bool has_sends =
+      work.max_attempts == 0 || request.sends + 2 <= work.max_attempts;
+  return work.idempotent && has_sends &&
+         (!this->windowed_budget || this->windowed_budget->HasSpare(now));
+}
+
 bool Dispatcher::State::SpendRetry(TimePoint now) {
   return this->windowed_budget ? this->windowed_budget->Spend(now)
                                : this->budget.Spend();
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -19,9 +19,15 @@
 // When fewer than this share is trusted, the least suspect are used too: the
 // trouble is then the service's, or this entry's own.
 constexpr double kLeastTrusted = 0.4;
-// Drawn at random, of which the least loaded is taken. Few, so that entries
-// with the same news do not all choose the same one.
-constexpr std::size_t kDraws = 3;
+// Drawn at random, of which the cheapest is taken. Few, so that entries with
+// the same news do not all choose the same one.
+constexpr std::size_t kDraws = 6;
+// Faults begin at any time, so a good answer proves a backend server for a
+// while only. In units of a full set of slots: what one that is not proved at
+// all costs work that may run only once. The first attempt of idempotent
+// work, which can be tried again, goes there instead and proves it.
+constexpr double kUnprovenCost = 0.5;
+constexpr std::chrono::duration<double> kProofMemory(1.0);
 // In units of a full set of slots: what a backend server in another failure
 // domain, or one that is cold, costs more.
 constexpr double kDistantCost = 0.6;
@@ -44,6 +50,13 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+// A first attempt that can be tried again elsewhere may find out how a backend
+// server does; a retry must find a good answer.
+bool IsTrial(const PickRequest& request) {
+  return request.work.idempotent && request.can_retry &&
+         request.excluded.empty();
+}
+
 Duration Part(Duration whole, double part) {
   return std::chrono::duration_cast<Duration>(whole * part);
 }
@@ -98,13 +111,12 @@
   if (usable.empty()) {
     return nullptr;
   }
-  // Only a first attempt may be a probe: a retry must find a good answer.
-  if (request.work.idempotent && request.excluded.empty()) {
+  if (IsTrial(request)) {
     if (FleetBackend* probe = this->PickProbe(usable, now)) {
       return probe;
     }
   }
-  return this->PickLeastLoaded(this->Trusted(usable, now), request.work, now);
+  return this->PickLeastLoaded(this->Trusted(usable, now), request, now);
 }
 
 FleetBackend* FleetPool::PickProbe(const Candidates& usable, TimePoint now) {
@@ -140,8 +152,9 @@
 }
 
 double FleetPool::Cost(const FleetBackend& backend,
-                       const Work& work,
+                       const PickRequest& request,
                        TimePoint now) const {
+  const Work& work = request.work;
   const auto slots = static_cast<double>(backend.server.slots);
   const std::chrono::duration<double> age = now - backend.reported_at;
   const double fresh = now - backend.reported_at < kQueueMemory
@@ -156,6 +169,11 @@
   if (backend.is_cold) {
     cost += kColdCost;
   }
+  const std::chrono::duration<double> since_good =
+      now - backend.shared.LastGood();
+  const double unproven =
+      kUnprovenCost * (1 - std::exp(-(since_good / kProofMemory)));
+  cost += IsTrial(request) ? -unproven : unproven;
   // What is left of a cleared suspicion must not starve a backend server.
   const double suspicion = backend.shared.Suspicion(now);
   return cost + (suspicion > SharedHealth::kCleared ? suspicion : 0);
@@ -164,7 +182,7 @@
 // The cheapest of a few drawn at random, as many from this entry's own failure
 // domain as there are.
 FleetBackend* FleetPool::PickLeastLoaded(const Candidates& among,
-                                         const Work& work,
+                                         const PickRequest& request,
                                          TimePoint now) {
   Candidates near;
   Candidates distant;
@@ -183,7 +201,7 @@
       const std::size_t at =
           whole ? turn + i : this->random.Below(group->size());
       FleetBackend* drawn = (*group)[at % group->size()];
-      const double cost = this->Cost(*drawn, work, now);
+      const double cost = this->Cost(*drawn, request, now);
       if (best == nullptr || cost < best_cost) {
         best = drawn;
         best_cost = cost;
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -81,10 +81,10 @@
   FleetBackend* PickProbe(const Candidates& usable, TimePoint now);
   Candidates Trusted(Candidates usable, TimePoint now) const;
   FleetBackend* PickLeastLoaded(const Candidates& among,
-                                const Work& work,
+                                const PickRequest& request,
                                 TimePoint now);
   double Cost(const FleetBackend& backend,
-              const Work& work,
+              const PickRequest& request,
               TimePoint now) const;
   // `source` says who saw it, for the log.
   void AddBad(FleetBackend& backend,
--- a/src/windowed_retry_budget.h
+++ b/src/windowed_retry_budget.h
@@ -21,9 +21,12 @@
   void OnRequest(TimePoint now);
   // Takes one extra attempt; false when the bound would be broken.
   bool Spend(TimePoint now);
+  // True while enough is left that a retry more may be provoked.
+  bool HasSpare(TimePoint now);
 
  private:
   void Forget(TimePoint now);
+  double Bound() const;
 
   RetryWindow window;
   std::deque<TimePoint> requests;
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -33,7 +33,7 @@
   }
   PooledBackend* Pick(bool idempotent) {
     const Work work = this->MakeWork(idempotent);
-    return this->pool.Pick({work, this->excluded}, this->now);
+    return this->pool.Pick({work, this->excluded, this->can_retry}, this->now);
   }
   // Where many requests go that may run only once.
   std::set<BackendId> UsedByUnsafe() {
@@ -55,6 +55,7 @@
   FleetPool pool{ServiceName("s"), FailureDomain("near"), random};
   ServiceView view;
   std::vector<BackendId> excluded;
+  bool can_retry = true;
   TimePoint now{seconds(1000)};
 };
 
@@ -107,6 +108,32 @@
   CHECK_FALSE(f.Pick(true)->server.id == f.Id(1));
 }
 
+TEST_CASE("what cannot be tried again is no probe") {
+  PoolFixture f;
+  f.Tell(1, 0, 1);
+  f.now += seconds(4);
+  f.can_retry = false;
+  CHECK_FALSE(f.Pick(true)->server.id == f.Id(1));
+  f.can_retry = true;
+  CHECK(f.Pick(true)->server.id == f.Id(1));
+}
+
+TEST_CASE("unsafe work goes where answers were good lately, safe work proves") {
+  PoolFixture f;
+  for (int i = 0; i < 6; ++i) {
+    f.Tell(i, 1, 0);
+  }
+  f.now += seconds(5);
+  f.Tell(2, 1, 0);
+  CHECK(f.UsedByUnsafe() == std::set<BackendId>{f.Id(2)});
+  for (int i = 0; i < 50; ++i) {
+    CHECK_FALSE(f.Pick(true)->server.id == f.Id(2));
+  }
+  // A retry goes where the answer will be good.
+  f.excluded = {f.Id(0)};
+  CHECK(f.Pick(true)->server.id == f.Id(2));
+}
+
 TEST_CASE("when nearly all are suspect, the least suspect ones are used") {
   PoolFixture f;
   for (int i = 0; i < 6; ++i) {
--- a/test/correctness/windowed_retry_budget_test.cc
+++ b/test/correctness/windowed_retry_budget_test.cc
@@ -53,5 +53,27 @@
   });
 }
 
+TEST_CASE("provoked retries leave a part to those that nobody expected") {
+  WindowedRetryBudget budget;
+  budget.Configure(kWindow);
+  TimePoint now = kStart;
+  for (int i = 0; i < 100; ++i) {
+    budget.OnRequest(now);
+  }
+  int provoked = 0;
+  while (budget.HasSpare(now) && budget.Spend(now)) {
+    ++provoked;
+  }
+  int others = 0;
+  while (budget.Spend(now)) {
+    ++others;
+  }
+  CHECK(provoked > 0);
+  CHECK(others >= provoked / 2);
+  now += kWindow.window + milliseconds(1);
+  budget.OnRequest(now);
+  CHECK(budget.HasSpare(now));
+}
+
 }  // namespace
 }  // namespace acacia
