Suspect a backend server at once that answers nobody

Change: an overdue answer counts 0.8 when nobody in the fleet had a good answer since that attempt began, as before when somebody had. Told to the others as a count of its own. An unreachable one is a suspect for this entry at once, as the next pick must go elsewhere.

--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -329,13 +329,17 @@
 
 void FleetPool::OnOverdue(PooledBackend& pooled,
                           const Work& /*work*/,
-                          TimePoint /*started*/,
+                          TimePoint started,
                           TimePoint now) {
   auto& backend = static_cast<FleetBackend&>(pooled);
   ++backend.overdue;
   if (IsQueueing(backend, now)) {
     return;
   }
+  if (backend.shared.LastGood() < started) {
+    ++backend.silent;
+    return this->AddBad(backend, suspicion::kSilent, kOwn, now);
+  }
   ++backend.late;
   this->AddBad(backend, suspicion::kSlow, kOwn, now);
 }
@@ -376,7 +380,8 @@
     }
     const double bad = suspicion::kBroken * each.failures +
                        suspicion::kServerError * each.server_errors +
-                       suspicion::kSlow * each.slow;
+                       suspicion::kSlow * each.slow +
+                       suspicion::kSilent * each.silent;
     for (std::uint32_t i = 0; i < each.good; ++i) {
       this->AddGood(*backend, now);
     }
@@ -390,7 +395,8 @@
   std::vector<schema::BackendEvidenceT> evidence;
   for (FleetBackend* backend : this->listed) {
     const std::uint32_t outcomes = backend->good + backend->broken +
-                                   backend->server_errors + backend->late;
+                                   backend->server_errors + backend->late +
+                                   backend->silent;
     if (outcomes == 0 && !backend->has_news) {
       continue;
     }
@@ -401,13 +407,15 @@
     item.failures = std::exchange(backend->broken, 0);
     item.server_errors = std::exchange(backend->server_errors, 0);
     item.slow = std::exchange(backend->late, 0);
+    item.silent = std::exchange(backend->silent, 0);
     if (std::exchange(backend->has_news, false)) {
       item.running = backend->reported.running;
       item.waiting = backend->reported.waiting;
       item.slots = backend->reported.slots;
     }
-    item.avoided = backend->shared.LastHeard() != backend->shared.LastGood() ||
-                   item.failures + item.server_errors + item.slow > 0;
+    item.avoided =
+        backend->shared.LastHeard() != backend->shared.LastGood() ||
+        item.failures + item.server_errors + item.slow + item.silent > 0;
     evidence.push_back(std::move(item));
   }
   return evidence;
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -35,6 +35,7 @@
   std::uint32_t broken = 0;
   std::uint32_t server_errors = 0;
   std::uint32_t late = 0;
+  std::uint32_t silent = 0;
 };
 
 class FleetPool : public BackendChooser {
--- a/src/shared_health.h
+++ b/src/shared_health.h
@@ -18,10 +18,13 @@
 inline constexpr double kServerError = 0.5;
 // No answer, or a late one: may be chance.
 inline constexpr double kSlow = 0.35;
+// No answer in more than the usual time, nor any to others meanwhile: a suspect
+// at once, as hung ones would take more requests until the next sign.
+inline constexpr double kSilent = 0.8;
 // Refused although it reported free slots.
 inline constexpr double kRefusedFree = 0.5;
-// Not reached: may be this entry's own link.
-inline constexpr double kUnreachable = 0.5;
+// Not reached: a suspect for this entry, whose own link it may be.
+inline constexpr double kUnreachable = 0.8;
 }  // namespace suspicion
 
 class SharedHealth {
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -134,6 +134,35 @@
   CHECK(f.Pick(true)->server.id == f.Id(2));
 }
 
+TEST_CASE("one that answers nobody is a suspect at once, a slow request none") {
+  PoolFixture f;
+  const Work work = f.MakeWork(false);
+  PooledBackend* backend = f.Pick(false);
+  const BackendId id = backend->server.id;
+  const int number = std::stoi(id.Value().substr(1));
+  f.Tell(number, 1, 0);
+  f.now += milliseconds(100);
+  f.pool.OnStart(*backend, work, f.now);
+  const TimePoint started = f.now;
+  f.now += milliseconds(700);
+  f.Tell(number, 1, 0);
+  f.now += milliseconds(100);
+  f.pool.OnOverdue(*backend, work, started, f.now);
+  f.Tell(number, 1, 0);
+  CHECK(f.UsedByUnsafe().contains(id));
+
+  f.pool.OnOverdue(*backend, work, f.now, f.now + milliseconds(800));
+  f.now += milliseconds(800);
+  CHECK_FALSE(f.UsedByUnsafe().contains(id));
+  const auto evidence = f.pool.TakeEvidence();
+  REQUIRE(evidence.size() == 1);
+  CHECK(evidence[0].silent == 1);
+  CHECK(evidence[0].slow == 1);
+  PoolFixture other;
+  other.pool.OnFleetEvidence("e1", evidence, other.now);
+  CHECK_FALSE(other.UsedByUnsafe().contains(id));
+}
+
 TEST_CASE("when nearly all are suspect, the least suspect ones are used") {
   PoolFixture f;
   for (int i = 0; i < 6; ++i) {
