--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -151,8 +151,9 @@
   f.Tell(number, 1, 0);
   CHECK(f.UsedByUnsafe().contains(id));
 
-  f.pool.OnOverdue(*backend, work, f.now, f.now + milliseconds(800));
-  f.now += milliseconds(800);
+  const TimePoint later = f.now + milliseconds(100);
+  f.now += milliseconds(900);
+  f.pool.OnOverdue(*backend, work, later, f.now);
   CHECK_FALSE(f.UsedByUnsafe().contains(id));
   const auto evidence = f.pool.TakeEvidence();
   REQUIRE(evidence.size() == 1);
