Count calls to the store and its tables' age on the metrics address

Change: src/host_metrics (calls by table and result, version, time of the last word on each table, relayed changes, role, members, registered backend servers).

--- a/src/entry_metrics.h
+++ b/src/entry_metrics.h
@@ -46,6 +46,8 @@
   ServiceMetrics& Of(const ServiceName& service);
 
   const prometheus::Registry& Registry() const { return *this->registry; }
+  // For metrics of other parts of the process.
+  prometheus::Registry& Registry() { return *this->registry; }
 
   prometheus::Gauge* caller_connections = nullptr;
   prometheus::Gauge* backend_connections = nullptr;
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -403,6 +403,10 @@
                          EntryPolicy policy)
     : state(std::make_unique<State>(settings, clock, std::move(policy))) {}
 
+EntryMetrics& EntryServer::Metrics() {
+  return this->state->context.metrics;
+}
+
 net::any_io_executor EntryServer::Executor() const {
   return this->state->io.get_executor();
 }
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -30,6 +30,8 @@
   Duration longest_stop{};
 };
 
+class EntryMetrics;
+
 class EntryServer {
  public:
   EntryServer(const schema::EntrySettingsT& settings,
@@ -39,6 +41,8 @@
 
   // Runs the entry's sockets; stays valid as long as this object.
   boost::asio::any_io_executor Executor() const;
+  // Served on the operators' address.
+  EntryMetrics& Metrics();
 
   // For an entry without an agent: what an agent would send. An older
   // configuration than the one in force is refused. Thread-safe.
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -5,8 +5,10 @@
 #include <boost/asio.hpp>
 #include <utility>
 
+#include "src/entry_metrics.h"
 #include "src/entry_peers.h"
 #include "src/fleet_state.h"
+#include "src/host_metrics.h"
 #include "src/host_policy.h"
 #include "src/log_event.h"
 #include "src/member_directory.h"
@@ -69,6 +71,7 @@
   HostAdapter adapter;
   EntryServer& entry;
   const Clock& clock;
+  HostMetrics metrics;
   // Runs everything here.
   net::strand<net::any_io_executor> strand;
   net::steady_timer timer;
@@ -99,6 +102,7 @@
       adapter(std::move(adapter)),
       entry(entry),
       clock(clock),
+      metrics(entry.Metrics().Registry()),
       strand(net::make_strand(entry.Executor())),
       timer(strand),
       random(settings.seed != 0 ? settings.seed : DrawSeed()),
@@ -113,6 +117,7 @@
              [this](FollowedTable table,
                     RowVersion after,
                     const TableRows& changes) {
+               this->metrics.OnRelayed(table, this->clock.Unix());
                this->Follower(table).TakeRelayed(after, changes);
              },
              [this](const std::string& from, const auto& evidence) {
@@ -155,6 +160,9 @@
     this->peers.PassOn(table, after, changes);
     this->peers.ShareSoon();
   };
+  events.on_call = [this, table](std::optional<RowStoreError> error) {
+    this->metrics.OnCall(table, error, this->clock.Unix());
+  };
   this->followers[At(table)] = std::make_unique<TableFollower>(
       this->strand, name, this->adapter.make_store(), std::move(events),
       this->random);
@@ -337,6 +345,8 @@
   auto fleet =
       BuildFleetUpdate(this->registry, this->directory, fleet_size, now);
   fleet->sequence = ++this->sequence;
+  this->metrics.SetMembers(this->directory.Members().size());
+  this->metrics.SetRegistered(this->registry.Backends().size());
   this->entry.ApplyFleet(std::move(fleet));
   this->ArmTimer();
 }
@@ -409,8 +419,10 @@
 // back.
 void HostControl::State::TakeRole() {
   const bool listens = this->peers.Role() == ReaderRole::kListener;
+  this->metrics.SetReadsStore(!listens);
   for (const FollowedTable table : schema::EnumValuesFollowedTable()) {
     TableFollower& follower = this->Follower(table);
+    this->metrics.SetVersion(table, follower.Version());
     follower.SetOthersRead(this->peers.OthersRead(table, follower.Version()));
     const bool is_prompt = table == FollowedTable::Registrations && !listens;
     follower.SetLongestPause(is_prompt ? TableFollower::kLongestPause
--- /dev/null
+++ b/src/host_metrics.h
@@ -0,0 +1,57 @@
+// What an entry on a host platform counts of its dealings with the store and
+// with the other entries. Names are listed in docs/OPERATIONS.md.
+//
+// Use on one strand; the values may be read by others.
+#ifndef SRC_HOST_METRICS_H_
+#define SRC_HOST_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <optional>
+#include <string>
+
+#include "src/clock.h"
+#include "src/peer_messages.h"
+#include "src/row_store.h"
+
+namespace acacia {
+
+class HostMetrics {
+ public:
+  // The registry must outlive this object.
+  explicit HostMetrics(prometheus::Registry& registry);
+
+  // A read of the table ended; nothing: it was answered.
+  void OnCall(FollowedTable table,
+              std::optional<RowStoreError> error,
+              UnixTime now);
+  // Changes came from an entry that reads the store for this one.
+  void OnRelayed(FollowedTable table, UnixTime now);
+  void SetVersion(FollowedTable table, RowVersion version);
+  void SetReadsStore(bool reads) { this->reads_store->Set(reads ? 1 : 0); }
+  void SetMembers(std::size_t count);
+  void SetRegistered(std::size_t count);
+
+ private:
+  struct TableMetrics {
+    prometheus::Counter* relayed = nullptr;
+    prometheus::Gauge* version = nullptr;
+    prometheus::Gauge* confirmed = nullptr;
+  };
+
+  TableMetrics& Of(FollowedTable table) { return this->tables[At(table)]; }
+
+  prometheus::Family<prometheus::Counter>& calls;
+  std::array<TableMetrics, std::tuple_size_v<TableVersions>> tables;
+  prometheus::Gauge* reads_store;
+  prometheus::Gauge* members;
+  prometheus::Gauge* registered;
+};
+
+}  // namespace acacia
+
+#endif  // SRC_HOST_METRICS_H_
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -45,6 +45,7 @@
   void Accept(const TableRows& changes);
   net::awaitable<void> Pause(std::chrono::milliseconds duration);
   net::awaitable<void> OnFailure(RowStoreError error);
+  void NoteCall(const tl::expected<TableRows, RowStoreError>& answer) const;
   void GiveUpWait();
   void NoteRows(const TableRows& rows);
   void SetAvailable(bool now_available);
@@ -99,6 +100,7 @@
   if (this->stopped) {
     co_return;
   }
+  this->NoteCall(rows);
   if (!rows) {
     co_await this->OnFailure(rows.error());
     co_return;
@@ -150,6 +152,13 @@
   }
 }
 
+void TableFollower::State::NoteCall(
+    const tl::expected<TableRows, RowStoreError>& answer) const {
+  if (this->events.on_call) {
+    this->events.on_call(answer ? std::nullopt : std::optional(answer.error()));
+  }
+}
+
 net::awaitable<void> TableFollower::State::ReadChanges() {
   const Duration wait =
       this->available == false
@@ -166,6 +175,7 @@
   if (this->stopped) {
     co_return;
   }
+  this->NoteCall(changes);
   if (!changes && std::exchange(this->given_up, false)) {
     this->needs_whole = true;
     co_return;
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "src/clock.h"
@@ -28,6 +29,8 @@
   // Changes that were read from the store, and all that came after that
   // version; told before on_changes. May be left out.
   std::function<void(RowVersion after, const TableRows& changes)> on_fetched{};
+  // A call to the store ended; nothing: it was answered. May be left out.
+  std::function<void(std::optional<RowStoreError> error)> on_call{};
 };
 
 // Use on one strand. Calls back on the executor.
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -75,6 +75,9 @@
             [this](bool available) { this->available.push_back(available); },
             [this](RowVersion after, const TableRows&) {
               this->fetched_after.push_back(after);
+            },
+            [this](std::optional<RowStoreError> error) {
+              this->results.push_back(error);
             }},
         this->random);
     this->follower->Start();
@@ -100,6 +103,7 @@
   std::vector<TableRows> changes;
   std::vector<bool> available;
   std::vector<RowVersion> fetched_after;
+  std::vector<std::optional<RowStoreError>> results;
 };
 
 TEST_CASE("a table is read whole, then its changes from that version on") {
@@ -141,6 +145,10 @@
   f.AwaitCalls(6);
   CHECK(f.wholes.size() == 1);
   CHECK(f.available == std::vector<bool>{false, true});
+  CHECK(f.results == std::vector<std::optional<RowStoreError>>{
+                         RowStoreError::kUnavailable, RowStoreError::kTooMany,
+                         RowStoreError::kUnknown, RowStoreError::kMalformed,
+                         std::nullopt});
 }
 
 TEST_CASE("a poll whose answer was lost is given up when others know more") {
--- a/test/integration/leaving_test.cc
+++ b/test/integration/leaving_test.cc
@@ -27,6 +27,9 @@
 TEST_CASE("SIGTERM cuts off no request in flight, takes included") {
   FleetOptions options;
   options.long_service_time_ms = 2500;
+  // Some 11 takes run at once, so that no slot is short and a take that is not
+  // answered was cut off.
+  options.uniikki = 6;
   Fleet fleet(options);
   fleet.Serve();
   auto load = fleet.Load(6, 60);
