Probe below the floor without a retry left, and draw three again

Change: when fewer are trusted than the floor asks for, first attempts of safe work probe whatever is left; three draws. The test of the floor fails without the change.

--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -21,7 +21,7 @@
 constexpr double kLeastTrusted = 0.4;
 // Drawn at random, of which the cheapest is taken. Few, so that entries with
 // the same news do not all choose the same one.
-constexpr std::size_t kDraws = 6;
+constexpr std::size_t kDraws = 3;
 // Faults begin at any time, so a good answer proves a backend server for a
 // while only. In units of a full set of slots: what one that is not proved at
 // all costs work that may run only once. The first attempt of idempotent
@@ -46,15 +46,20 @@
 constexpr double kEarliestLate = 0.25;
 constexpr double kLatestLate = 0.6;
 
+constexpr std::size_t kPercent = 100;
+
 bool IsExcluded(const std::vector<BackendId>& ids, const BackendId& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+bool IsRepeatable(const PickRequest& request) {
+  return request.work.idempotent && request.excluded.empty();
+}
+
 // A first attempt that can be tried again elsewhere may find out how a backend
 // server does; a retry must find a good answer.
 bool IsTrial(const PickRequest& request) {
-  return request.work.idempotent && request.can_retry &&
-         request.excluded.empty();
+  return IsRepeatable(request) && request.can_retry;
 }
 
 Duration Part(Duration whole, double part) {
@@ -69,6 +74,7 @@
     : service(std::move(service)), domain(std::move(domain)), random(random) {}
 
 void FleetPool::Apply(const ServiceView& view, TimePoint /*now*/) {
+  this->floor_percent = view.policy.floor_percent;
   this->listed.clear();
   for (auto& [id, backend] : this->backends) {
     backend->in_view = false;
@@ -111,7 +117,9 @@
   if (usable.empty()) {
     return nullptr;
   }
-  if (IsTrial(request)) {
+  // Below the floor suspects are found well again whatever that costs.
+  if (IsTrial(request) ||
+      (IsRepeatable(request) && this->IsBelowFloor(usable, now))) {
     if (FleetBackend* probe = this->PickProbe(usable, now)) {
       return probe;
     }
@@ -134,6 +142,14 @@
   return due;
 }
 
+bool FleetPool::IsBelowFloor(const Candidates& usable, TimePoint now) const {
+  const auto trusted = std::count_if(
+      usable.begin(), usable.end(),
+      [now](const auto* each) { return !each->shared.IsSuspect(now); });
+  return kPercent * static_cast<std::size_t>(trusted) <
+         this->floor_percent * usable.size();
+}
+
 FleetPool::Candidates FleetPool::Trusted(Candidates usable,
                                          TimePoint now) const {
   const auto trusted_end = std::stable_partition(
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -80,6 +80,8 @@
 
   Candidates Usable(const PickRequest& request) const;
   FleetBackend* PickProbe(const Candidates& usable, TimePoint now);
+  // Fewer are trusted than the service's floor asks for.
+  bool IsBelowFloor(const Candidates& usable, TimePoint now) const;
   Candidates Trusted(Candidates usable, TimePoint now) const;
   FleetBackend* PickLeastLoaded(const Candidates& among,
                                 const PickRequest& request,
@@ -100,6 +102,7 @@
   ServiceName service;
   FailureDomain domain;
   RandomSource& random;
+  std::size_t floor_percent = 0;
   std::unordered_map<BackendId, std::unique_ptr<FleetBackend>> backends;
   // Those in the view.
   Candidates listed;
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -118,6 +118,22 @@
   CHECK(f.Pick(true)->server.id == f.Id(1));
 }
 
+TEST_CASE("below the floor suspects are probed even without a retry left") {
+  PoolFixture f;
+  f.view.policy.floor_percent = 70;
+  f.pool.Apply(f.view, f.now);
+  f.can_retry = false;
+  f.Tell(1, 0, 1);
+  f.now += seconds(4);
+  CHECK_FALSE(f.Pick(true)->server.id == f.Id(1));
+  f.Tell(3, 0, 1);
+  f.Tell(1, 0, 1);
+  f.now += seconds(4);
+  const std::set<BackendId> probed{f.Pick(true)->server.id,
+                                   f.Pick(true)->server.id};
+  CHECK(probed == std::set<BackendId>{f.Id(1), f.Id(3)});
+}
+
 TEST_CASE("unsafe work goes where answers were good lately, safe work proves") {
   PoolFixture f;
   for (int i = 0; i < 6; ++i) {
