--- /dev/null
+++ b/test/correctness/entry_peers_test.cc
@@ -0,0 +1,125 @@
+// Three entries of a failure domain on loopback: who passes changes on to whom.
+#include "src/entry_peers.h"
+
+#include <catch2/catch.hpp>
+
+#include "test/io_fixture.h"
+
+namespace acacia {
+namespace {
+
+constexpr TableVersions kSince{RowVersion(5), RowVersion(5), RowVersion(5)};
+
+std::string FreeAddress() {
+  boost::asio::io_context context;
+  const boost::asio::ip::tcp::acceptor acceptor(
+      context, {boost::asio::ip::address_v4::loopback(), 0});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+schema::MemberUpdateT Member(const std::string& name) {
+  schema::MemberUpdateT member;
+  member.instance = name;
+  member.failure_domain = "a";
+  member.peer_address = FreeAddress();
+  return member;
+}
+
+struct Entry {
+  Entry(boost::asio::io_context& context,
+        const schema::MemberUpdateT& self,
+        const Clock& clock)
+      : directory(self),
+        peers(context.get_executor(),
+              self,
+              directory,
+              clock,
+              {[this](const TableVersions& rows) { this->known = rows; },
+               [this](FollowedTable table,
+                      RowVersion after,
+                      const TableRows& changes) {
+                 this->table = table;
+                 this->after = after;
+                 this->relayed.push_back(changes);
+               },
+               [](const std::string&, const auto&) {}}) {
+    REQUIRE(this->peers.Listen(self.peer_address));
+  }
+
+  MemberDirectory directory;
+  TableVersions known;
+  std::optional<FollowedTable> table;
+  RowVersion after;
+  std::vector<TableRows> relayed;
+  EntryPeers peers;
+};
+
+struct PeersFixture {
+  PeersFixture() {
+    for (const char* name : {"a0", "a1", "a2"}) {
+      this->members.push_back(Member(name));
+    }
+    for (const auto& self : this->members) {
+      this->entries.push_back(
+          std::make_unique<Entry>(this->context, self, this->clock));
+      for (const auto& member : this->members) {
+        this->entries.back()->directory.Put(member);
+      }
+    }
+    for (const auto& entry : this->entries) {
+      entry->peers.Share({}, kSince, kSince);
+    }
+    RunUntil(this->context, [this] {
+      return std::all_of(
+          this->entries.begin(), this->entries.end(), [this](const auto& each) {
+            return each->directory.HeardNear(this->clock.Now()).size() == 2;
+          });
+    });
+  }
+
+  // Stands still, so that no claim ends.
+  ManualClock clock;
+  boost::asio::io_context context;
+  std::vector<schema::MemberUpdateT> members;
+  std::vector<std::unique_ptr<Entry>> entries;
+};
+
+TEST_CASE("the first reader passes changes on, and the second does not") {
+  PeersFixture f;
+  CHECK(f.entries[0]->peers.Role() == ReaderRole::kFirst);
+  CHECK(f.entries[1]->peers.Role() == ReaderRole::kSecond);
+  CHECK(f.entries[2]->peers.Role() == ReaderRole::kListener);
+  CHECK(f.entries[2]->known == kSince);
+  const auto registrations = FollowedTable::Registrations;
+  CHECK(f.entries[2]->peers.OthersRead(registrations, RowVersion(6)));
+  CHECK_FALSE(f.entries[2]->peers.OthersRead(registrations, RowVersion(4)));
+  // Readers read for themselves.
+  CHECK_FALSE(f.entries[1]->peers.OthersRead(registrations, RowVersion(6)));
+
+  const TableRows changes{{{"i-1", "row", RowVersion(8), false}},
+                          RowVersion(9)};
+  f.entries[1]->peers.PassOn(registrations, RowVersion(1), {});
+  f.entries[0]->peers.PassOn(registrations, RowVersion(7), changes);
+  RunUntil(f.context, [&] { return !f.entries[2]->relayed.empty(); });
+  CHECK(f.entries[2]->table == registrations);
+  CHECK(f.entries[2]->after == RowVersion(7));
+  CHECK(f.entries[2]->relayed.front().version == RowVersion(9));
+  CHECK(f.entries[0]->relayed.empty());
+}
+
+TEST_CASE(
+    "changes larger than a datagram arrive, very large ones are not sent") {
+  PeersFixture f;
+  const auto table = FollowedTable::Configuration;
+  const TableRows huge{{{"c", std::string(40000, 'x'), RowVersion(8), false}},
+                       RowVersion(8)};
+  const TableRows large{{{"c", std::string(4000, 'y'), RowVersion(9), false}},
+                        RowVersion(9)};
+  f.entries[0]->peers.PassOn(table, RowVersion(7), huge);
+  f.entries[0]->peers.PassOn(table, RowVersion(8), large);
+  RunUntil(f.context, [&] { return !f.entries[2]->relayed.empty(); });
+  CHECK(f.entries[2]->relayed.front().rows[0].value.size() == 4000);
+}
+
+}  // namespace
+}  // namespace acacia
