Serve requests that a caller sends behind one another together

Change: CallerSession is the connection (reads ahead, keeps the order of answers, closes), ProxyExchange one request from head to answer. An answer behind which others wait does not close: without a length it goes out in chunks, and a stop answers what was read first. Refusals that match no route now log the caller's id and the generation that decided.

Ruled out: one exchange with an array of attempts per request (every decision would need an index).

--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -8,7 +8,7 @@
 
 #include "src/listener.h"
 #include "src/log_event.h"
-#include "src/proxy_session.h"
+#include "src/caller_session.h"
 
 namespace acacia {
 namespace {
@@ -33,13 +33,13 @@
 
   net::awaitable<void> Accept();
   void StartSession(Tcp::socket socket);
-  void ForEach(void (ProxySession::*action)());
+  void ForEach(void (CallerSession::*action)());
 
   net::any_io_executor executor;
   Tcp::acceptor acceptor;
   EntryContext& context;
   std::mutex mutex;
-  std::vector<std::weak_ptr<ProxySession>> sessions;
+  std::vector<std::weak_ptr<CallerSession>> sessions;
   std::size_t clean_at = kCleanEvery;
 };
 
@@ -69,7 +69,7 @@
   SetStreamOptions(socket, kCallerUserTimeout);
   const SessionStrand strand = net::make_strand(this->executor);
   auto session =
-      std::make_shared<ProxySession>(this->context, std::move(socket), strand);
+      std::make_shared<CallerSession>(this->context, std::move(socket), strand);
   session->Start();
   const std::lock_guard lock(this->mutex);
   if (this->sessions.size() >= this->clean_at) {
@@ -111,8 +111,8 @@
   });
 }
 
-void CallerServer::State::ForEach(void (ProxySession::*action)()) {
-  std::vector<std::weak_ptr<ProxySession>> open;
+void CallerServer::State::ForEach(void (CallerSession::*action)()) {
+  std::vector<std::weak_ptr<CallerSession>> open;
   {
     const std::lock_guard lock(this->mutex);
     open = this->sessions;
@@ -125,11 +125,11 @@
 }
 
 void CallerServer::CloseIdle() {
-  this->state->ForEach(&ProxySession::CloseIfIdle);
+  this->state->ForEach(&CallerSession::CloseIfIdle);
 }
 
 void CallerServer::CloseAll() {
-  this->state->ForEach(&ProxySession::CloseNow);
+  this->state->ForEach(&CallerSession::CloseNow);
 }
 
 }  // namespace acacia
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -1,5 +1,5 @@
 // The callers' listener: accepts connections, bounds their number, and starts a
-// ProxySession on a strand of its own for each.
+// CallerSession on a strand of its own for each.
 #ifndef SRC_CALLER_SERVER_H_
 #define SRC_CALLER_SERVER_H_
 
--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -62,6 +62,19 @@
     return StartChild(parent, this->random);
   }
 
+  // Connections close after the answer to what has been read.
+  bool MustClose() const {
+    const EntryPhase now = this->phase.load();
+    return now == EntryPhase::kDraining ||
+           (now == EntryPhase::kLeaving && this->close_while_leaving);
+  }
+  // When a caller that neither sends nor takes anything from now on is given
+  // up.
+  TimePoint IdleLimit() const {
+    return this->clock.Now() +
+           std::chrono::milliseconds(this->settings.idle_caller_timeout_ms);
+  }
+
   const schema::EntrySettingsT settings;
   const Dialect dialect;
   const Clock& clock;
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -1,6 +1,6 @@
 // Small whole HTTP messages for control traffic (operator listeners, the
 // platform, the stand-ins). The callers' requests do not use these: they are
-// streamed (see proxy_session.h).
+// streamed (see proxy_exchange.h).
 #ifndef SRC_HTTP_MESSAGE_H_
 #define SRC_HTTP_MESSAGE_H_
 
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -167,7 +167,7 @@
 
 // An interim answer (103 and the like) goes on to callers that know HTTP/1.1.
 net::awaitable<bool> ProxyAttempt::RelayInterim() {
-  if (this->exchange.caller_is_http10) {
+  if (this->exchange.caller_is_http10 || !this->owner.IsTurn()) {
     co_return true;
   }
   http::response<http::empty_body> interim(this->parser->get().base());
@@ -207,18 +207,23 @@
     answer.erase(name);
   }
   answer.version(11);
-  // Without a length the answer ends with the connection.
-  const bool whole = this->buffered_body && this->parser->is_done();
-  this->ends_with_close = !this->has_no_body && !whole &&
-                          (this->parser->need_eof() ||
-                           (chunked && this->exchange.caller_is_http10));
-  if (chunked && !whole && !this->exchange.caller_is_http10) {
+  // Without a length the answer ends with the connection, or is sent in chunks
+  // while others wait behind it.
+  const bool whole =
+      this->has_no_body || (this->buffered_body && this->parser->is_done());
+  const bool must_chunk = this->parser->need_eof() && this->owner.MustKeep();
+  const bool in_chunks =
+      !whole && !this->exchange.caller_is_http10 && (chunked || must_chunk);
+  this->ends_with_close =
+      !whole && !in_chunks && (this->parser->need_eof() || chunked);
+  if (in_chunks) {
     answer.set(http::field::transfer_encoding, "chunked");
   }
   const bool close = this->ends_with_close || !this->request_sent ||
                      !this->exchange.keep_alive || this->owner.MustClose();
   this->exchange.keep_alive = !close;
   if (close) {
+    this->owner.OnClosingAnswer();
     answer.set(http::field::connection, "close");
   } else if (this->exchange.caller_is_http10) {
     answer.set(http::field::connection, "keep-alive");
@@ -232,16 +237,26 @@
                                               : AttemptResult::kSuccess;
   this->has_no_body =
       this->exchange.is_head_request || status == 204 || status == 304;
+  const bool complete =
+      this->has_no_body || (this->buffered_body && this->parser->is_done());
+  this->due = TimePoint::max();
+  if (complete) {
+    this->EndAnswer();
+  }
+  if (!co_await this->owner.AwaitTurn()) {
+    this->FinishRelay(false);
+    co_return this->success;
+  }
   this->begun_relay = true;
   auto answer = this->BuildAnswer();
-  if (!this->has_no_body && this->buffered_body && this->parser->is_done()) {
-    co_return co_await this->RelayBuffered(std::move(answer));
+  if (!complete) {
+    this->Progress();
+    co_return co_await this->RelayBody(std::move(answer));
   }
   if (!this->has_no_body) {
-    co_return co_await this->RelayBody(std::move(answer));
+    co_return co_await this->RelayBuffered(std::move(answer));
   }
   http::response_serializer<http::buffer_body> serializer(answer);
-  this->EndAnswer();
   this->AwaitCaller();
   const auto [error, bytes] = co_await http::async_write_header(
       this->owner.Caller().Socket(), serializer, kAwait);
@@ -254,7 +269,6 @@
   http::response<http::string_body> message(std::move(answer.base()));
   message.body() = std::move(*this->buffered_body);
   message.content_length(message.body().size());
-  this->EndAnswer();
   this->AwaitCaller();
   const auto [error, bytes] = co_await http::async_write(
       this->owner.Caller().Socket(), message, kAwait);
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -99,6 +99,14 @@
   virtual void OnCallerFailed(BodyError error) = 0;
   // The connection to the caller must close after the answer.
   virtual bool MustClose() const = 0;
+  // Further requests that were passed on wait for their answers on it.
+  virtual bool MustKeep() const = 0;
+  // The answer that is about to be written closes the connection.
+  virtual void OnClosingAnswer() = 0;
+  // Waits until earlier requests of the connection have their answers; false
+  // when this one can get none any more.
+  virtual boost::asio::awaitable<bool> AwaitTurn() = 0;
+  virtual bool IsTurn() const = 0;
 };
 
 class ProxyAttempt : public std::enable_shared_from_this<ProxyAttempt> {
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -1,4 +1,4 @@
-// The part of ProxySession that deals with the dispatcher: feeding events,
+// The part of ProxyExchange that deals with the dispatcher: feeding events,
 // carrying out actions, and ending a request.
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "src/log_event.h"
-#include "src/proxy_session.h"
+#include "src/proxy_exchange.h"
 
 namespace acacia {
 namespace {
@@ -18,59 +18,62 @@
 
 }  // namespace
 
-std::shared_ptr<void> ProxySession::KeepAlive() {
+std::shared_ptr<void> ProxyExchange::KeepAlive() {
   return this->shared_from_this();
 }
 
-void ProxySession::CloseNow() {
-  net::post(this->strand, [weak = this->weak_from_this()] {
-    if (const auto self = weak.lock()) {
-      self->OnCallerFailed(BodyError::kClosed);
-      self->caller.Close();
-    }
-  });
-}
-
-void ProxySession::Push(const DispatchAction& action) {
+void ProxyExchange::Push(const DispatchAction& action) {
   const std::lock_guard lock(this->mailbox_mutex);
   this->mailbox.push_back(action);
 }
 
-void ProxySession::Wake() {
-  net::post(this->strand, [weak = this->weak_from_this()] {
+void ProxyExchange::Wake() {
+  net::post(this->Strand(), [weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->Drain();
     }
   });
 }
 
-void ProxySession::Signal() {
+void ProxyExchange::Signal() {
   this->signal.cancel();
 }
 
-net::awaitable<void> ProxySession::WaitForSignal() {
+net::awaitable<void> ProxyExchange::WaitForSignal() {
   this->signal.expires_at(TimePoint::max());
   co_await this->signal.async_wait(kAwait);
 }
 
-bool ProxySession::MustClose() const {
-  const EntryPhase phase = this->context.phase.load();
-  return phase == EntryPhase::kDraining ||
-         (phase == EntryPhase::kLeaving && this->context.close_while_leaving);
+// Requests that were read behind this one are answered before the connection
+// closes.
+bool ProxyExchange::MustClose() const {
+  return this->context.MustClose() && !this->MustKeep();
 }
 
-void ProxySession::ExpectCaller(bool expected) {
-  const auto idle =
-      std::chrono::milliseconds(this->context.settings.idle_caller_timeout_ms);
-  this->caller_due =
-      expected ? this->context.clock.Now() + idle : TimePoint::max();
-  this->GuardDeadlines();
+bool ProxyExchange::MustKeep() const {
+  return this->session->HasBehind(*this);
+}
+
+void ProxyExchange::OnClosingAnswer() {
+  this->session->StopReading(*this);
+}
+
+net::awaitable<bool> ProxyExchange::AwaitTurn() {
+  co_return co_await this->session->AwaitTurn(*this);
+}
+
+bool ProxyExchange::IsTurn() const {
+  return this->session->IsTurn(*this);
+}
+
+void ProxyExchange::ExpectCaller(bool expected) {
+  this->session->ExpectCaller(expected);
 }
 
 // The timer stays armed for the earliest time asked for and is armed again when
 // it finds nothing due, so that most requests touch no timer.
-void ProxySession::GuardDeadlines() {
-  TimePoint next = std::min(this->caller_due, this->start_due);
+void ProxyExchange::GuardDeadlines() {
+  TimePoint next = this->start_due;
   for (const auto& attempt : this->attempts) {
     next = std::min(next, attempt->Due());
   }
@@ -88,14 +91,9 @@
       });
 }
 
-void ProxySession::OnWatchdog() {
+void ProxyExchange::OnWatchdog() {
   this->watchdog_armed = TimePoint::max();
   const TimePoint now = this->context.clock.Now();
-  if (this->caller_due <= now) {
-    this->caller_due = TimePoint::max();
-    this->OnCallerFailed(BodyError::kClosed);
-    this->caller.Close();
-  }
   if (this->start_due <= now) {
     this->start_due = TimePoint::max();
     this->RefuseUnstarted();
@@ -109,7 +107,7 @@
 }
 
 // No attempt has started within the deadline.
-void ProxySession::RefuseUnstarted() {
+void ProxyExchange::RefuseUnstarted() {
   if (!this->exchange || !this->service || this->IsOver()) {
     return;
   }
@@ -117,7 +115,7 @@
   this->TellDispatcherOfLeaving();
 }
 
-void ProxySession::TellDispatcherOfLeaving() {
+void ProxyExchange::TellDispatcherOfLeaving() {
   this->service->Feed(
       [this](Dispatcher& dispatcher, TimePoint now) {
         return dispatcher.OnCallerLeft(this->exchange->id, now);
@@ -127,9 +125,10 @@
   this->Signal();
 }
 
-net::awaitable<bool> ProxySession::Dispatch() {
+net::awaitable<bool> ProxyExchange::Dispatch() {
   const RequestId id = this->exchange->id;
   this->PrepareWork();
+  this->ReleaseCaller();
   this->context.registry.Add(id, this->weak_from_this());
   this->service->Feed(
       [this](Dispatcher& dispatcher, TimePoint now) {
@@ -139,7 +138,7 @@
   this->Drain();
   bool watching = false;
   while (!this->IsOver()) {
-    if (!watching && this->exchange->body_read &&
+    if (!watching && !this->released && this->exchange->body_read &&
         this->exchange->uploads == 0) {
       watching = true;
       this->caller.WatchForLeaving([weak = this->weak_from_this()] {
@@ -152,7 +151,9 @@
   }
   this->context.registry.Remove(id);
   this->start_due = TimePoint::max();
-  this->caller.StopWatching();
+  if (!this->released) {
+    this->caller.StopWatching();
+  }
   this->CancelAttempts();
   while (!this->attempts.empty() || this->exchange->uploads > 0) {
     co_await this->WaitForSignal();
@@ -160,11 +161,23 @@
   co_return co_await this->FinishDispatch();
 }
 
+// From here on the session reads the next request, and so notices that the
+// caller has left.
+void ProxyExchange::ReleaseCaller() {
+  const Exchange& request = *this->exchange;
+  this->released = request.work.idempotent && request.body_read &&
+                   request.keep_alive &&
+                   request.work.work_class == WorkClass::kShort;
+  if (this->released) {
+    this->session->OnReleased();
+  }
+}
+
 // The dispatcher ends attempts at the deadline. Long work, and a body that is
 // still being sent, must not end so: the dispatcher hears of a deadline far
 // away, the session bounds the wait for a slot, and the attempt the wait for
 // the answer.
-void ProxySession::PrepareWork() {
+void ProxyExchange::PrepareWork() {
   Exchange& request = *this->exchange;
   request.work.hedgeable = request.body_read;
   const bool unbounded =
@@ -175,7 +188,7 @@
   this->GuardDeadlines();
 }
 
-bool ProxySession::IsOver() const {
+bool ProxyExchange::IsOver() const {
   if (this->caller_failed || this->refusal) {
     return true;
   }
@@ -184,14 +197,16 @@
                    this->relaying) == this->attempts.end();
 }
 
-net::awaitable<bool> ProxySession::FinishDispatch() {
+net::awaitable<bool> ProxyExchange::FinishDispatch() {
   const bool begun = this->relaying && this->relaying->HasBegunRelay();
   if (begun && this->relaying->IsRelayedWhole()) {
     this->metrics->relayed->Increment();
     this->WriteSpan("relayed");
-    const bool keep = this->exchange->keep_alive && this->caller.IsBodyDone();
+    const bool keep = this->exchange->keep_alive &&
+                      (this->released || this->caller.IsBodyDone());
     if (!keep) {
-      co_await this->CloseGracefully();
+      this->OnClosingAnswer();
+      co_await this->session->CloseGracefully();
     }
     co_return keep;
   }
@@ -209,6 +224,10 @@
     const auto left = static_cast<std::size_t>(ErrorKind::kCallerLeft);
     this->metrics->errors[left]->Increment();
     this->WriteSpan("caller_left");
+    LogEvent("caller_left")
+        .With("request", this->LoggedId())
+        .With("service", this->service_name)
+        .With("route", this->exchange->work.latency_key);
     co_return false;
   }
   co_return co_await this->Refuse(
@@ -216,7 +235,7 @@
 }
 
 // The answer broke off: the caller must see that it is not whole.
-void ProxySession::AbortAnswer() {
+void ProxyExchange::AbortAnswer() {
   this->metrics->aborted->Increment();
   this->WriteSpan("aborted");
   LogEvent("answer_aborted", LogSeverity::kWarning)
@@ -232,7 +251,7 @@
 
 // Never says "not run" once an attempt may have run, and says it when the time
 // ran out before any byte was sent.
-ErrorKind ProxySession::TruthfulKind(ErrorKind kind) const {
+ErrorKind ProxyExchange::TruthfulKind(ErrorKind kind) const {
   if (kind == ErrorKind::kBackendTimeout && !this->exchange->outcome_unknown) {
     return ErrorKind::kConnectFailed;
   }
@@ -243,7 +262,7 @@
   return ErrorKind::kBackendBroken;
 }
 
-std::optional<DispatchAction> ProxySession::TakeAction() {
+std::optional<DispatchAction> ProxyExchange::TakeAction() {
   const std::lock_guard lock(this->mailbox_mutex);
   if (this->mailbox.empty()) {
     return std::nullopt;
@@ -253,7 +272,7 @@
   return action;
 }
 
-void ProxySession::Drain() {
+void ProxyExchange::Drain() {
   while (const auto action = this->TakeAction()) {
     // Actions for a request that has ended are of no use any more.
     if (!this->exchange || RequestOf(*action) != this->exchange->id ||
@@ -264,12 +283,12 @@
   }
 }
 
-void ProxySession::Handle(const StartAttempt& action) {
+void ProxyExchange::Handle(const StartAttempt& action) {
   this->start_due = TimePoint::max();
   auto attempt = std::make_shared<ProxyAttempt>(this->context, *this,
                                                 *this->exchange, action);
   this->attempts.push_back(attempt);
-  net::co_spawn(this->strand, attempt->Run(),
+  net::co_spawn(this->Strand(), attempt->Run(),
                 [self = this->shared_from_this(),
                  attempt](const std::exception_ptr& error) {
                   if (error) {
@@ -282,7 +301,7 @@
                 });
 }
 
-void ProxySession::Handle(const CancelAttempt& action) {
+void ProxyExchange::Handle(const CancelAttempt& action) {
   for (const auto& attempt : this->attempts) {
     if (attempt->Id() == action.attempt) {
       attempt->Cancel();
@@ -290,7 +309,7 @@
   }
 }
 
-void ProxySession::Handle(const RelayAnswer& action) {
+void ProxyExchange::Handle(const RelayAnswer& action) {
   for (const auto& attempt : this->attempts) {
     if (attempt->Id() == action.attempt) {
       this->relaying = attempt;
@@ -298,7 +317,7 @@
   }
 }
 
-void ProxySession::Handle(const RefuseRequest& action) {
+void ProxyExchange::Handle(const RefuseRequest& action) {
   if (this->relaying) {
     return;
   }
@@ -307,13 +326,13 @@
   this->Signal();
 }
 
-void ProxySession::CancelAttempts() {
+void ProxyExchange::CancelAttempts() {
   for (const auto& attempt : this->attempts) {
     attempt->Cancel();
   }
 }
 
-bool ProxySession::OnAnswerHead(ProxyAttempt& attempt, int http_status) {
+bool ProxyExchange::OnAnswerHead(ProxyAttempt& attempt, int http_status) {
   if (attempt.IsCancelled() || this->IsOver()) {
     return false;
   }
@@ -334,7 +353,7 @@
   return relay;
 }
 
-void ProxySession::OnAttemptEnd(ProxyAttempt& attempt, AttemptResult result) {
+void ProxyExchange::OnAttemptEnd(ProxyAttempt& attempt, AttemptResult result) {
   this->metrics->attempts[static_cast<std::size_t>(result)]->Increment();
   if (this->caller_failed || this->refusal) {
     return;
@@ -353,12 +372,19 @@
   this->Drain();
 }
 
-void ProxySession::OnCallerFailed(BodyError error) {
-  if (!this->exchange || !this->service || this->IsOver()) {
+void ProxyExchange::OnCallerFailed(BodyError error) {
+  if (this->caller_failed) {
+    return;
+  }
+  // An answer that is being written ends with the failed write.
+  const bool is_dispatched = this->exchange && this->service;
+  if (is_dispatched && this->IsOver()) {
     return;
   }
   this->caller_failed = error;
-  this->TellDispatcherOfLeaving();
+  if (is_dispatched) {
+    this->TellDispatcherOfLeaving();
+  }
 }
 
 }  // namespace acacia
--- a/src/proxy_session.cc
+++ b/src/proxy_exchange.cc
@@ -1,4 +1,4 @@
-#include "src/proxy_session.h"
+#include "src/proxy_exchange.h"
 
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -19,10 +19,6 @@
 constexpr std::string_view kOwnPaths = "/.acacia/";
 constexpr std::string_view kLookupPath = "/.acacia/lookup";
 constexpr std::uint32_t kMinConnections = 2;
-// How long a closing connection still takes what the caller sends, so that the
-// answer is not destroyed by a reset.
-constexpr Duration kLingerTime = std::chrono::seconds(2);
-constexpr std::size_t kLingerBytes = 1024 * 1024;
 constexpr std::size_t kDiscardBytes = 16 * 1024;
 constexpr int kHttp10 = 10;
 constexpr int kNotFound = 404;
@@ -58,63 +54,16 @@
 
 }  // namespace
 
-ProxySession::ProxySession(EntryContext& context,
-                           net::ip::tcp::socket socket,
-                           const SessionStrand& strand)
+ProxyExchange::ProxyExchange(EntryContext& context,
+                             std::shared_ptr<CallerSession> session)
     : context(context),
-      strand(strand),
-      caller(std::move(socket), strand, context.settings.max_header_bytes),
-      signal(strand),
-      watchdog(strand) {
-  ++this->context.connections;
-}
-
-ProxySession::~ProxySession() {
-  --this->context.connections;
-}
-
-void ProxySession::Start() {
-  net::co_spawn(
-      this->strand, this->Run(),
-      [self = this->shared_from_this()](const std::exception_ptr& error) {
-        if (error) {
-          LogEvent("session_failed", LogSeverity::kError)
-              .With("service", self->service_name);
-        }
-        self->caller.Close();
-      });
-}
+      session(std::move(session)),
+      caller(this->session->Connection()),
+      signal(this->session->Strand()),
+      watchdog(this->session->Strand()),
+      metrics(&context.metrics.Of(ServiceName())) {}
 
-void ProxySession::CloseIfIdle() {
-  net::post(this->strand, [weak = this->weak_from_this()] {
-    const auto self = weak.lock();
-    if (self && self->caller.IsQuiet()) {
-      self->caller.Close();
-    }
-  });
-}
-
-net::awaitable<void> ProxySession::Run() {
-  bool more = true;
-  while (more) {
-    more = co_await this->ServeOne();
-  }
-}
-
-net::awaitable<bool> ProxySession::ServeOne() {
-  this->exchange.reset();
-  this->service.reset();
-  this->relaying.reset();
-  this->refusal.reset();
-  this->caller_failed.reset();
-  this->service_name = ServiceName();
-  this->metrics = &this->context.metrics.Of(ServiceName());
-  this->ExpectCaller(true);
-  const auto head = co_await this->caller.ReadHead();
-  this->ExpectCaller(false);
-  if (!head && head.error() == HeadError::kClosed) {
-    co_return false;
-  }
+net::awaitable<bool> ProxyExchange::Run(tl::expected<void, HeadError> head) {
   const ActiveRequest active(this->context.active_requests);
   this->began = this->context.clock.Now();
   if (!head) {
@@ -122,10 +71,19 @@
                                         ? ErrorKind::kHeaderTooLarge
                                         : ErrorKind::kBadRequest);
   }
+  this->is_head_request = this->caller.Head().method() == http::verb::head;
+  this->caller_request_id =
+      std::string(this->caller.Head()[this->context.dialect.request_id]);
   co_return co_await this->AnswerRequest();
 }
 
-net::awaitable<bool> ProxySession::AnswerRequest() {
+void ProxyExchange::LogException() const {
+  LogEvent("request_broke", LogSeverity::kError)
+      .With("request", this->LoggedId())
+      .With("service", this->service_name);
+}
+
+net::awaitable<bool> ProxyExchange::AnswerRequest() {
   const auto& head = this->caller.Head();
   if (const auto error = CheckRequestHead(head)) {
     this->caller.Distrust();
@@ -142,6 +100,7 @@
   if (!snapshot->IsReady()) {
     co_return co_await this->Refuse(ErrorKind::kNotReady);
   }
+  this->generation = snapshot->configuration->generation;
   const auto route = snapshot->router->Find(
       head[http::field::host], PathOf(head.target()), head.method_string());
   if (!route) {
@@ -150,7 +109,7 @@
   co_return co_await this->ProxyTo(snapshot, **route, *options);
 }
 
-net::awaitable<bool> ProxySession::AnswerLookup() {
+net::awaitable<bool> ProxyExchange::AnswerLookup() {
   const auto target = ParseTarget(this->caller.Head().target());
   const auto snapshot = this->context.snapshot.Get();
   if (!target || target->path != kLookupPath) {
@@ -177,7 +136,7 @@
   co_return co_await this->WriteReply(BuildJsonAnswer(kOk, LookupJson(answer)));
 }
 
-net::awaitable<bool> ProxySession::ProxyTo(
+net::awaitable<bool> ProxyExchange::ProxyTo(
     std::shared_ptr<const EntrySnapshot> snapshot,
     const Route& route,
     CallerOptions options) {
@@ -191,6 +150,15 @@
     co_return co_await this->Refuse(ErrorKind::kBodyTooLarge);
   }
   this->PrepareExchange(*snapshot, route, options);
+  // Only what may run again, and needs nothing more from the caller, is passed
+  // on while earlier answers are awaited.
+  bool may_begin = this->exchange->work.idempotent && this->exchange->body_read;
+  if (!may_begin) {
+    may_begin = co_await this->AwaitTurn();
+  }
+  if (!may_begin) {
+    co_return this->DropUnread();
+  }
   // A caller that waits for "100 Continue" hears of a refusal before it sends
   // its body.
   if (!options.expects_continue) {
@@ -199,7 +167,7 @@
     }
   }
   if (this->caller_failed) {
-    co_return false;
+    co_return this->DropUnread();
   }
   if (route.claim_keys && !options.key.empty()) {
     if (const auto error = co_await this->ClaimKey(options.key)) {
@@ -209,8 +177,18 @@
   co_return co_await this->Dispatch();
 }
 
+// The caller has left, or an earlier answer closed the connection, before the
+// request was passed on.
+bool ProxyExchange::DropUnread() {
+  LogEvent("request_dropped")
+      .With("request", this->LoggedId())
+      .With("service", this->service_name)
+      .With("reason", "connection closed before it was passed on");
+  return false;
+}
+
 // The route's service, or one of those that share its requests by weight.
-ServiceName ProxySession::ChooseService(const Route& route) {
+ServiceName ProxyExchange::ChooseService(const Route& route) {
   if (route.split.empty()) {
     return route.service;
   }
@@ -228,13 +206,12 @@
   return route.split.back().service;
 }
 
-void ProxySession::PrepareExchange(const EntrySnapshot& snapshot,
-                                   const Route& route,
-                                   const CallerOptions& options) {
+void ProxyExchange::PrepareExchange(const EntrySnapshot& snapshot,
+                                    const Route& route,
+                                    const CallerOptions& options) {
   const auto& head = this->caller.Head();
   Exchange& prepared = this->exchange.emplace();
   prepared.id = this->context.NextRequest();
-  this->generation = snapshot.configuration->generation;
   const Duration allowed =
       std::min(route.deadline, options.deadline.value_or(route.deadline));
   prepared.work.request = prepared.id;
@@ -262,15 +239,14 @@
 }
 
 // What every attempt sends; the rest is the attempt's (see BuildHead there).
-void ProxySession::PrepareHead() {
+void ProxyExchange::PrepareHead() {
   Exchange& prepared = *this->exchange;
   prepared.head = this->caller.Head();
   http::request_header<>& head = prepared.head;
   StripHopByHop(head);
   head.erase(http::field::expect);
-  const std::string& id_header = this->context.dialect.request_id;
-  prepared.caller_request_id = std::string(head[id_header]);
-  head.erase(id_header);
+  prepared.caller_request_id = this->caller_request_id;
+  head.erase(this->context.dialect.request_id);
   head.version(11);
   head.insert(http::field::via, "1.1 " + this->context.settings.instance);
   if (prepared.is_chunked) {
@@ -288,7 +264,7 @@
 
 // Reads as much of the body as can be sent again. Small requests so need no
 // slot while a slow caller sends them, and can be retried.
-net::awaitable<std::optional<ErrorKind>> ProxySession::BufferBody() {
+net::awaitable<std::optional<ErrorKind>> ProxyExchange::BufferBody() {
   Exchange& request = *this->exchange;
   std::vector<char> space;
   while (!request.body_read &&
@@ -319,7 +295,7 @@
   co_return std::nullopt;
 }
 
-net::awaitable<std::optional<ErrorKind>> ProxySession::ClaimKey(
+net::awaitable<std::optional<ErrorKind>> ProxyExchange::ClaimKey(
     std::string key) {
   auto reply = std::make_shared<std::optional<schema::KeyClaimReplyT>>();
   schema::KeyClaimT claim;
@@ -329,7 +305,7 @@
   claim.key = std::move(key);
   KeyClaimDone done = [reply, self = this->shared_from_this()](
                           const schema::KeyClaimReplyT& result) {
-    net::post(self->strand, [reply, self, result] {
+    net::post(self->Strand(), [reply, self, result] {
       *reply = result;
       self->Signal();
     });
@@ -349,33 +325,41 @@
 
 // Writes an error. The connection is kept only when the rest of the request is
 // small and well-formed.
-net::awaitable<bool> ProxySession::Refuse(ErrorKind kind) {
+net::awaitable<bool> ProxyExchange::Refuse(ErrorKind kind) {
   this->LogRefusal(kind);
   this->metrics->errors[static_cast<std::size_t>(kind)]->Increment();
   this->WriteSpan(AnswerFor(kind).name);
   co_return co_await this->WriteReply(BuildErrorAnswer(kind));
 }
 
-net::awaitable<bool> ProxySession::WriteReply(StringResponse reply) {
+net::awaitable<bool> ProxyExchange::WriteReply(StringResponse reply) {
   const bool discarded = co_await this->DiscardBody();
+  if (!co_await this->AwaitTurn()) {
+    co_return false;
+  }
   const bool keep = discarded && !this->MustClose();
   reply.keep_alive(keep);
-  if (this->caller.IsTrusted() &&
-      this->caller.Head().method() == http::verb::head) {
+  if (this->is_head_request) {
     reply.body().clear();
   }
+  if (!keep) {
+    this->OnClosingAnswer();
+  }
   this->ExpectCaller(true);
   const auto [error, bytes] =
       co_await http::async_write(this->caller.Socket(), reply, kAwait);
   this->ExpectCaller(false);
   if (!error && !keep) {
-    co_await this->CloseGracefully();
+    co_await this->session->CloseGracefully();
   }
   co_return !error && keep;
 }
 
 // True when the connection can carry another request.
-net::awaitable<bool> ProxySession::DiscardBody() {
+net::awaitable<bool> ProxyExchange::DiscardBody() {
+  if (this->released) {
+    co_return this->exchange->keep_alive;
+  }
   if (!this->caller.IsTrusted() || !this->caller.WantsKeepAlive()) {
     co_return false;
   }
@@ -397,33 +381,15 @@
   co_return true;
 }
 
-net::awaitable<void> ProxySession::CloseGracefully() {
-  boost::system::error_code error;
-  this->caller.Socket().shutdown(net::ip::tcp::socket::shutdown_send, error);
-  this->caller_due = this->context.clock.Now() + kLingerTime;
-  this->GuardDeadlines();
-  std::vector<char> space(kDiscardBytes);
-  std::size_t total = 0;
-  while (!error && total < kLingerBytes) {
-    const auto [read_error, bytes] =
-        co_await this->caller.Socket().async_read_some(net::buffer(space),
-                                                       kAwait);
-    error = read_error;
-    total += bytes;
-  }
-}
-
 // The caller's id of the request where it gave one.
-std::string ProxySession::LoggedId() const {
-  if (!this->exchange) {
-    return "";
+std::string ProxyExchange::LoggedId() const {
+  if (!this->caller_request_id.empty() || !this->exchange) {
+    return this->caller_request_id;
   }
-  return this->exchange->caller_request_id.empty()
-             ? std::to_string(this->exchange->id.Value())
-             : this->exchange->caller_request_id;
+  return std::to_string(this->exchange->id.Value());
 }
 
-void ProxySession::LogRefusal(ErrorKind kind) {
+void ProxyExchange::LogRefusal(ErrorKind kind) {
   const ErrorAnswer& answer = AnswerFor(kind);
   const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->context.clock.Now() - this->began);
@@ -438,7 +404,7 @@
       .With("generation", this->generation);
 }
 
-void ProxySession::WriteSpan(std::string_view result) {
+void ProxyExchange::WriteSpan(std::string_view result) {
   if (!this->context.spans.IsOn() || !this->exchange) {
     return;
   }
--- a/src/proxy_session.h
+++ b/src/proxy_exchange.h
@@ -1,8 +1,9 @@
-// One connection from a caller, from its first request to its close: reads each
-// request's head, refuses or routes it, has the service's dispatcher decide,
-// carries out the dispatcher's actions, and writes the answer or the error.
-#ifndef SRC_PROXY_SESSION_H_
-#define SRC_PROXY_SESSION_H_
+// One request of a caller, from its head to the end of its answer: refuses or
+// routes it, has the service's dispatcher decide, carries out the dispatcher's
+// actions, and writes the answer or the error when its turn on the connection
+// has come.
+#ifndef SRC_PROXY_EXCHANGE_H_
+#define SRC_PROXY_EXCHANGE_H_
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +16,7 @@
 
 #include "src/caller_connection.h"
 #include "src/caller_headers.h"
+#include "src/caller_session.h"
 #include "src/entry_context.h"
 #include "src/error_answer.h"
 #include "src/proxy_attempt.h"
@@ -22,48 +24,54 @@
 
 namespace acacia {
 
-// Runs on one strand; Push and Wake may be called from any thread.
-class ProxySession : public ActionSink,
-                     public AttemptOwner,
-                     public std::enable_shared_from_this<ProxySession> {
+// Runs on the session's strand; Push and Wake may be called from any thread.
+class ProxyExchange : public ActionSink,
+                      public AttemptOwner,
+                      public std::enable_shared_from_this<ProxyExchange> {
  public:
-  ProxySession(EntryContext& context,
-               boost::asio::ip::tcp::socket socket,
-               const SessionStrand& strand);
-  ~ProxySession() override;
+  ProxyExchange(EntryContext& context, std::shared_ptr<CallerSession> session);
 
-  // Serves the connection in the background; holds itself while it does.
-  void Start();
+  // Serves the request whose head the connection has just read. True when the
+  // connection can carry another request afterwards.
+  boost::asio::awaitable<bool> Run(tl::expected<void, HeadError> head);
 
-  // The entry is draining: closes the connection if it is idle. Thread-safe.
-  void CloseIfIdle();
+  // The caller closed, stalled, or sent a malformed body, or an earlier answer
+  // closed the connection.
+  void OnCallerFailed(BodyError error) override;
+  bool HasCallerFailed() const { return this->caller_failed.has_value(); }
+
+  // The request may run again and has been read whole.
+  bool IsReleased() const { return this->released; }
 
-  // Cuts the connection off. Thread-safe.
-  void CloseNow();
+  void LogException() const;
 
   void Push(const DispatchAction& action) override;
   void Wake() override;
 
  private:
-  CallerConnection& Caller() override { return this->caller; }
-  const SessionStrand& Strand() const override { return this->strand; }
+  CallerConnection& Caller() override { return this->session->Connection(); }
+  const SessionStrand& Strand() const override {
+    return this->session->Strand();
+  }
   std::shared_ptr<void> KeepAlive() override;
   void Signal() override;
   void GuardDeadlines() override;
   void ExpectCaller(bool expected) override;
   bool OnAnswerHead(ProxyAttempt& attempt, int http_status) override;
   void OnAttemptEnd(ProxyAttempt& attempt, AttemptResult result) override;
-  void OnCallerFailed(BodyError error) override;
   bool MustClose() const override;
+  bool MustKeep() const override;
+  void OnClosingAnswer() override;
+  boost::asio::awaitable<bool> AwaitTurn() override;
+  bool IsTurn() const override;
 
-  boost::asio::awaitable<void> Run();
-  boost::asio::awaitable<bool> ServeOne();
   boost::asio::awaitable<bool> AnswerRequest();
   boost::asio::awaitable<bool> AnswerLookup();
   boost::asio::awaitable<bool> ProxyTo(
       std::shared_ptr<const EntrySnapshot> snapshot,
       const Route& route,
       CallerOptions options);
+  bool DropUnread();
   ServiceName ChooseService(const Route& route);
   void PrepareExchange(const EntrySnapshot& snapshot,
                        const Route& route,
@@ -77,9 +85,9 @@
   boost::asio::awaitable<bool> Refuse(ErrorKind kind);
   boost::asio::awaitable<bool> WriteReply(StringResponse reply);
   boost::asio::awaitable<bool> DiscardBody();
-  boost::asio::awaitable<void> CloseGracefully();
 
   void PrepareWork();
+  void ReleaseCaller();
   void RefuseUnstarted();
   void TellDispatcherOfLeaving();
   bool IsOver() const;
@@ -98,18 +106,20 @@
   void WriteSpan(std::string_view result);
 
   EntryContext& context;
-  SessionStrand strand;
-  CallerConnection caller;
+  std::shared_ptr<CallerSession> session;
+  CallerConnection& caller;
   boost::asio::steady_timer signal;
   boost::asio::steady_timer watchdog;
   TimePoint watchdog_armed = TimePoint::max();
-  // When the caller must have sent or taken something.
-  TimePoint caller_due = TimePoint::max();
   // When an attempt must have started.
   TimePoint start_due = TimePoint::max();
 
-  // The request that is being answered.
+  // Set once the request is routed.
   std::optional<Exchange> exchange;
+  // The caller's own id of the request; empty without one.
+  std::string caller_request_id;
+  bool is_head_request = false;
+  bool released = false;
   TimePoint began;
   ServiceName service_name;
   // Of the configuration that routed it.
@@ -129,4 +139,4 @@
 
 }  // namespace acacia
 
-#endif  // SRC_PROXY_SESSION_H_
+#endif  // SRC_PROXY_EXCHANGE_H_
