Divide failure domains into cells, read the store before serving, and tell refused callers when to return

Calls to the store 16 an entry: nobody told of itself before it had a configuration, so that in the ten seconds before traffic all 443 read every change of three tables. Lookups named the first 64 of 88 by name, so that 24 entries of each failure domain got no callers.

Change: src/cells divides the entries and backend servers of a failure domain alike everywhere, by rank, a power of two of cells of 20 to 39 entries; an entry uses its own cell first and tells that cell; suspects elsewhere are told to their own cell (in fleets up to 128 to all, as before). Four candidates by name hear and tell the whole failure domain that they live, and readers tell who is silent. Entries tell of themselves from the start, marked as not serving. A lookup draws its 64. The role is worked out once a tick; members' changes are put in force together after 150 ms. A follower waits 0.4 s after its first reading. Retry-After comes from the load that is known and the usual time, drawn so that callers refused together return apart (src/retry_after, played in its test).

Ruled out for now: SWIM in place of heartbeats (larger change; candidates bound them to cell size + 4), relays.

--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -15,6 +15,7 @@
 #include "src/dispatcher.h"
 #include "src/ids.h"
 #include "src/pooled_backend.h"
+#include "src/retry_after.h"
 
 namespace acacia {
 
@@ -79,6 +80,12 @@
   virtual bool IsFull(const PooledBackend& backend, TimePoint now) const = 0;
   // From this age on an attempt counts as overdue; nothing while unknown.
   virtual std::optional<Duration> SlowAfter(const Work& work) const = 0;
+  // How busy the service is, for those it refuses; nothing where only this
+  // entry's own requests are known.
+  virtual std::optional<RefusalLoad> Load(const Work& /*work*/,
+                                          TimePoint /*now*/) const {
+    return std::nullopt;
+  }
   // What such work usually takes; zero while unknown.
   virtual Duration MedianLatency(const Work& work) const = 0;
   virtual void OnLeavingSeen(PooledBackend& backend, TimePoint now) = 0;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -30,6 +30,8 @@
   // The caller's request id goes on unchanged; otherwise each attempt gets one
   // of ours.
   bool passes_request_id = false;
+  // Callers understand a Retry-After with a fraction of a second.
+  bool fractional_retry_after = false;
   // Headers of backend servers' answers that callers do not get.
   std::vector<std::string> hidden_from_callers;
   // True for an answer that says that the request was not run.
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -11,6 +11,7 @@
 #include "src/backend_pool.h"
 #include "src/check.h"
 #include "src/request_state.h"
+#include "src/retry_after.h"
 #include "src/retry_budget.h"
 #include "src/windowed_retry_budget.h"
 
@@ -48,7 +49,7 @@
   void StartOn(RequestState& request, PooledBackend& backend, TimePoint now);
   void Pump(TimePoint now);
   void PumpClass(WorkClass work_class, TimePoint now);
-  void RefuseWaitingWithoutChoice();
+  void RefuseWaitingWithoutChoice(TimePoint now);
   void EndAttempt(RequestState& request, AttemptId attempt);
   void CancelAll(RequestState& request);
   bool MayRetry(const RequestState& request,
@@ -60,7 +61,7 @@
   bool SpendRetry(TimePoint now);
   bool CanRetry(const RequestState& request, TimePoint now);
   void Retry(RequestState& request, TimePoint now);
-  void Refuse(RequestId request, ErrorKind not_run_kind);
+  void Refuse(RequestId request, ErrorKind not_run_kind, TimePoint now);
   void Finish(RequestId request);
   void Learn(const RequestState& request,
              const RunningAttempt& attempt,
@@ -109,7 +110,7 @@
                                work.deadline - this->pool->MedianLatency(work)};
   const std::optional<RequestId> shed = this->queue.Push(waiting, now);
   if (shed) {
-    this->Refuse(*shed, ErrorKind::kQueueFull);
+    this->Refuse(*shed, ErrorKind::kQueueFull, now);
   }
 }
 
@@ -163,7 +164,7 @@
   }
 }
 
-void Dispatcher::State::RefuseWaitingWithoutChoice() {
+void Dispatcher::State::RefuseWaitingWithoutChoice(TimePoint now) {
   if (this->queue.IsEmpty()) {
     return;
   }
@@ -175,7 +176,7 @@
   }
   std::sort(hopeless.begin(), hopeless.end());
   for (const RequestId id : hopeless) {
-    this->Refuse(id, ErrorKind::kNoBackend);
+    this->Refuse(id, ErrorKind::kNoBackend, now);
   }
 }
 
@@ -270,11 +271,17 @@
 }
 
 // Ends the request. The kind given holds only if no attempt may have run.
-void Dispatcher::State::Refuse(RequestId request, ErrorKind not_run_kind) {
+void Dispatcher::State::Refuse(RequestId request,
+                               ErrorKind not_run_kind,
+                               TimePoint now) {
   RequestState* found = this->Find(request);
   ACACIA_CHECK(found != nullptr);
   const ErrorKind kind = found->uncertain.value_or(not_run_kind);
-  this->actions.push_back(RefuseRequest{request, kind});
+  std::optional<Duration> retry_after;
+  if (const auto load = this->pool->Load(found->work, now)) {
+    retry_after = RetryAfter(*load, this->random->Fraction());
+  }
+  this->actions.push_back(RefuseRequest{request, kind, retry_after});
   this->Finish(request);
 }
 
@@ -313,7 +320,7 @@
       }
     }
     this->CancelAll(request);
-    this->Refuse(id, ErrorKind::kBackendTimeout);
+    this->Refuse(id, ErrorKind::kBackendTimeout, now);
   }
 }
 
@@ -403,7 +410,7 @@
   this->state->queue.Configure(view.policy.queue_length);
   this->state->budget.Configure(view.policy.retry_budget_percent);
   this->state->accounts = view.accounts;
-  this->state->RefuseWaitingWithoutChoice();
+  this->state->RefuseWaitingWithoutChoice(now);
   return this->state->TakeActions(now);
 }
 
@@ -421,9 +428,9 @@
     state.windowed_budget->OnRequest(now);
   }
   if (work.deadline <= now) {
-    state.Refuse(work.request, ErrorKind::kDeadlineTooShort);
+    state.Refuse(work.request, ErrorKind::kDeadlineTooShort, now);
   } else if (!state.pool->HasChoice({})) {
-    state.Refuse(work.request, ErrorKind::kNoBackend);
+    state.Refuse(work.request, ErrorKind::kNoBackend, now);
   } else if (state.queue.Size(work.work_class) > 0 ||
              !state.TryStart(request, now)) {
     state.Enqueue(request, now);
@@ -517,9 +524,11 @@
   if (state.MayRetry(*request, report.result, report.replayable, now)) {
     state.Retry(*request, now);
   } else {
-    state.Refuse(report.request, report.result == AttemptResult::kRefused
-                                     ? ErrorKind::kBackendRefused
-                                     : ErrorKind::kConnectFailed);
+    state.Refuse(report.request,
+                 report.result == AttemptResult::kRefused
+                     ? ErrorKind::kBackendRefused
+                     : ErrorKind::kConnectFailed,
+                 now);
   }
   return state.TakeActions(now);
 }
@@ -542,7 +551,7 @@
 DispatchActions Dispatcher::OnTimer(TimePoint now) {
   State& state = *this->state;
   for (const RequestId expired : state.queue.TakeExpired(now)) {
-    state.Refuse(expired, ErrorKind::kDeadlineTooShort);
+    state.Refuse(expired, ErrorKind::kDeadlineTooShort, now);
   }
   state.ExpireRunning(now);
   state.CheckOverdue(now);
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -114,6 +114,8 @@
 struct RefuseRequest {
   RequestId request;
   ErrorKind kind;
+  // When it is worth trying again; nothing while that is unknown.
+  std::optional<Duration> retry_after{};
 };
 
 using DispatchAction =
@@ -130,8 +132,11 @@
   std::set<BackendId> ejected;
   std::set<BackendId> leaving;
   std::set<BackendId> cold;
-  // Entries of the whole fleet.
-  std::uint32_t fleet_size = 1;
+  // Those of this entry's own cell (see cells.h); none: all of its failure
+  // domain.
+  std::set<BackendId> homes;
+  // Entries that hear of attempts at the same backend servers.
+  std::uint32_t cell_size = 1;
   // The instances that serve this service, in a stable order, and this one:
   // home assignment.
   std::vector<InstanceId> entries;
--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -13,6 +13,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "src/cells.h"
 #include "src/clock.h"
 #include "src/member_directory.h"
 #include "src/peer_messages.h"
@@ -49,12 +50,18 @@
   void Share(const std::vector<schema::BackendEvidenceT>& evidence,
              const TableVersions& known,
              const TableVersions& since);
+  // Whom evidence concerns.
+  void SetCells(Cells cells) { this->cells = std::move(cells); }
+  // Others name this entry to callers only while it serves.
+  void SetServing(bool serving) { this->serving = serving; }
   // The next call of Share has news.
   void ShareSoon() { this->share_soon = true; }
   // Passes on changes that this entry read from the store, if that is its role.
   void PassOn(FollowedTable table, RowVersion after, const TableRows& changes);
 
-  ReaderRole Role() const;
+  // Works out this entry's role anew.
+  void UpdateRole();
+  ReaderRole Role() const { return this->role; }
   // Another entry reads the changes after this version for this one.
   bool OthersRead(FollowedTable table, RowVersion after) const;
 
@@ -62,14 +69,21 @@
   void OnMessage(const std::string& bytes);
   void OnShare(const schema::OutcomeShareT& share);
   void Send(const InstanceId& to, const std::string& bytes);
+  void ShareLife(const ShareHeading& heading,
+                 const std::vector<InstanceId>& mates);
+  void ShareBeyondCell(const ShareHeading& heading,
+                       const std::vector<schema::BackendEvidenceT>& evidence);
 
   schema::MemberUpdateT self;
   MemberDirectory& directory;
   const Clock& clock;
   EntryPeersEvents events;
   StoreReaders readers;
+  ReaderRole role = ReaderRole::kFirst;
+  Cells cells;
   TimePoint heartbeat_at{};
   bool share_soon = false;
+  bool serving = true;
   PeerTransport transport;
 };
 
--- a/src/entry_snapshot.cc
+++ b/src/entry_snapshot.cc
@@ -47,6 +47,9 @@
     if (from->cold) {
       view.cold.insert(id);
     }
+    if (from->home) {
+      view.homes.insert(id);
+    }
   }
 }
 
@@ -119,9 +122,11 @@
         BuildView(configuration, service, FindState(fleet, name));
     std::vector<EntryMember> subset =
         ChooseSubset(name, SlotsOf(view), snapshot.members);
-    view.fleet_size = FleetSize(fleet, snapshot.members.size());
+    const std::uint32_t fleet_size = FleetSize(fleet, snapshot.members.size());
+    view.cell_size = fleet != nullptr && fleet->cell_size > 0 ? fleet->cell_size
+                                                              : fleet_size;
     if (view.policy.retry_window) {
-      view.policy.retry_window->extra /= view.fleet_size;
+      view.policy.retry_window->extra /= fleet_size;
     }
     for (const EntryMember& member : subset) {
       view.entries.push_back(member.instance);
--- a/src/error_answer.cc
+++ b/src/error_answer.cc
@@ -14,7 +14,6 @@
 constexpr int kHttp11 = 11;
 constexpr int kServiceUnavailable = 503;
 constexpr int kTooManyRequests = 429;
-constexpr char kRetryAfterSeconds[] = "1";
 
 }  // namespace
 
@@ -28,7 +27,8 @@
   return response;
 }
 
-StringResponse BuildErrorAnswer(ErrorKind kind) {
+StringResponse BuildErrorAnswer(ErrorKind kind,
+                                const std::string& retry_after) {
   const ErrorAnswer& answer = AnswerFor(kind);
   const std::string outcome(OutcomeName(answer.outcome));
   const boost::json::object body{{"error", answer.name},
@@ -41,7 +41,7 @@
   response.set(kOutcomeHeader, outcome);
   if (answer.http_status == kServiceUnavailable ||
       answer.http_status == kTooManyRequests) {
-    response.set(http::field::retry_after, kRetryAfterSeconds);
+    response.set(http::field::retry_after, retry_after);
   }
   return response;
 }
--- a/src/error_answer.h
+++ b/src/error_answer.h
@@ -13,7 +13,8 @@
 using StringResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
-StringResponse BuildErrorAnswer(ErrorKind kind);
+// `retry_after` is the header's value, where the answer has one.
+StringResponse BuildErrorAnswer(ErrorKind kind, const std::string& retry_after);
 
 // A JSON answer of the entry itself that is no error of a request.
 StringResponse BuildJsonAnswer(int http_status, std::string body);
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -37,6 +37,8 @@
 // In units of a full set of slots: what a backend server in another failure
 // domain, or one that is cold, costs more.
 constexpr double kDistantCost = 0.6;
+// The same of one nearby in another cell, of whose load less is known.
+constexpr double kForeignCellCost = 0.4;
 constexpr double kColdCost = 0.8;
 // Bodies from this size on stay near even at a higher load.
 constexpr std::uint64_t kLargeBody = 32 * 1024;
@@ -81,7 +83,7 @@
 
 void FleetPool::Apply(const ServiceView& view, TimePoint /*now*/) {
   this->floor_percent = view.policy.floor_percent;
-  this->fleet_size = std::max(view.fleet_size, 1U);
+  this->cell_size = std::max(view.cell_size, 1U);
   this->listed.clear();
   for (auto& [id, backend] : this->backends) {
     backend->in_view = false;
@@ -96,6 +98,8 @@
     slot->in_view = true;
     slot->leaving = view.leaving.contains(server.id);
     slot->is_cold = view.cold.contains(server.id);
+    slot->is_home = view.homes.empty() ? server.failure_domain == this->domain
+                                       : view.homes.contains(server.id);
     this->listed.push_back(slot.get());
   }
   std::erase_if(this->backends, [](const auto& item) {
@@ -182,6 +186,8 @@
   double cost = KnownLoad(backend, now) / slots;
   if (backend.server.failure_domain != this->domain) {
     cost += work.body_bytes >= kLargeBody ? kDistantLargeCost : kDistantCost;
+  } else if (!backend.is_home) {
+    cost += kForeignCellCost;
   }
   if (backend.is_cold) {
     cost += kColdCost;
@@ -229,20 +235,21 @@
   }
 }
 
-// The cheapest of a few drawn at random, as many from this entry's own failure
-// domain as there are.
+// The cheapest of a few drawn at random, from this entry's own cell, the rest
+// of its failure domain, and elsewhere.
 FleetBackend* FleetPool::PickLeastLoaded(const Candidates& among,
                                          const PickRequest& request,
                                          TimePoint now) {
+  Candidates home;
   Candidates near;
   Candidates distant;
   for (FleetBackend* backend : among) {
     const bool is_near = backend->server.failure_domain == this->domain;
-    (is_near ? near : distant).push_back(backend);
+    (backend->is_home ? home : (is_near ? near : distant)).push_back(backend);
   }
   FleetBackend* best = nullptr;
   double best_cost = 0;
-  for (const Candidates* group : {&near, &distant}) {
+  for (const Candidates* group : {&home, &near, &distant}) {
     // Small groups are looked at whole.
     const bool whole = group->size() <= kDraws;
     const std::size_t turn =
@@ -288,7 +295,7 @@
 void FleetPool::ScheduleProbe(FleetBackend& backend, TimePoint now) {
   backend.next_probe =
       now + kProbeAfter +
-      Part(kProbeSpreadPerEntry * this->fleet_size, this->random.Fraction());
+      Part(kProbeSpreadPerEntry * this->cell_size, this->random.Fraction());
 }
 
 void FleetPool::AddBad(FleetBackend& backend,
@@ -395,6 +402,22 @@
   this->AddBad(backend, suspicion::kSlow, kOwn, now);
 }
 
+// Of what this entry would use now.
+std::optional<RefusalLoad> FleetPool::Load(const Work& work,
+                                           TimePoint now) const {
+  RefusalLoad load;
+  load.usual_time = this->MedianLatency(work);
+  double slots = 0;
+  for (const FleetBackend* backend : this->listed) {
+    if (backend->IsInService() && !backend->shared.IsSuspect(now)) {
+      load.per_slot += KnownLoad(*backend, now);
+      slots += backend->server.slots;
+    }
+  }
+  load.per_slot /= std::max(slots, 1.0);
+  return load;
+}
+
 Duration FleetPool::MedianLatency(const Work& work) const {
   const auto found = this->latencies.find(work.latency_key);
   return found == this->latencies.end() ? Duration{} : found->second.Median();
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -31,6 +31,8 @@
 struct FleetBackend : PooledBackend {
   SharedHealth shared;
   bool is_cold = false;
+  // In this entry's own cell.
+  bool is_home = false;
   ReportedLoad reported;
   TimePoint reported_at{};
   // It told this entry its load since the load was last passed on.
@@ -75,6 +77,8 @@
                  TimePoint now) override;
   bool IsFull(const PooledBackend& backend, TimePoint now) const override;
   std::optional<Duration> SlowAfter(const Work& work) const override;
+  std::optional<RefusalLoad> Load(const Work& work,
+                                  TimePoint now) const override;
   Duration MedianLatency(const Work& work) const override;
   void OnLeavingSeen(PooledBackend& /*backend*/, TimePoint /*now*/) override {}
   std::optional<TimePoint> NextOpening(TimePoint /*now*/) const override {
@@ -120,7 +124,7 @@
   FailureDomain domain;
   RandomSource& random;
   std::size_t floor_percent = 0;
-  std::uint32_t fleet_size = 1;
+  std::uint32_t cell_size = 1;
   std::unordered_map<BackendId, std::unique_ptr<FleetBackend>> backends;
   // Those in the view.
   Candidates listed;
--- a/src/fleet_state.cc
+++ b/src/fleet_state.cc
@@ -34,13 +34,34 @@
   return member;
 }
 
+Cells BuildCells(const BackendRegistry& registry,
+                 const MemberDirectory& directory) {
+  std::vector<EntryPlace> entries;
+  for (const auto& [instance, member] : directory.Members()) {
+    entries.push_back({instance, FailureDomain(member.failure_domain)});
+  }
+  std::vector<BackendPlace> backends;
+  for (const auto& [name, held] : registry.Backends()) {
+    backends.push_back({held.backend.id, held.backend.service,
+                        held.backend.server.failure_domain});
+  }
+  Cells cells;
+  cells.Build(entries, backends);
+  return cells;
+}
+
 std::unique_ptr<schema::FleetUpdateT> BuildFleetUpdate(
     const BackendRegistry& registry,
     const MemberDirectory& directory,
+    const Cells& cells,
     std::uint32_t fleet_size,
     TimePoint now) {
   auto fleet = std::make_unique<schema::FleetUpdateT>();
   fleet->fleet_size = fleet_size;
+  if (!cells.IsWhole()) {
+    fleet->cell_size =
+        static_cast<std::uint32_t>(cells.EntriesWith(directory.Self()).size());
+  }
   for (const auto& [instance, member] : directory.Members()) {
     fleet->members.push_back(MakeFleetMember(member));
   }
@@ -55,6 +76,8 @@
       service->leaving.push_back(held.backend.id.Value());
     }
     service->discovered.push_back(DescribeBackend(held, now));
+    service->discovered.back()->home =
+        cells.IsHome(directory.Self(), held.backend.id);
   }
   for (auto& [name, service] : services) {
     fleet->services.push_back(std::move(service));
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "src/backend_registry.h"
+#include "src/cells.h"
 #include "src/clock.h"
 #include "src/generated/entry_link_generated.h"
 #include "src/member_directory.h"
@@ -17,10 +18,14 @@
 std::unique_ptr<schema::FleetMemberT> MakeFleetMember(
     const schema::MemberUpdateT& info);
 
+Cells BuildCells(const BackendRegistry& registry,
+                 const MemberDirectory& directory);
+
 // `fleet_size` entries share the fleet-wide bounds.
 std::unique_ptr<schema::FleetUpdateT> BuildFleetUpdate(
     const BackendRegistry& registry,
     const MemberDirectory& directory,
+    const Cells& cells,
     std::uint32_t fleet_size,
     TimePoint now);
 
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -29,6 +29,9 @@
 // One table is asked often enough to find a store that is back; the others
 // follow it at once, and ask less often by themselves.
 constexpr Duration kLongestOtherPause = std::chrono::milliseconds(1200);
+// Changes of members are put in force together: long beside the start of one
+// entry, short beside the seconds that a lookup's answer is used.
+constexpr std::chrono::milliseconds kMembersPause{150};
 // Pause before a row that could not be written is written again.
 constexpr std::chrono::milliseconds kRowRetry{500};
 // Entries that are assumed for the shares of fleet-wide bounds before the
@@ -52,6 +55,7 @@
   void OnMembers(const TableRows& rows, bool whole);
   std::optional<RegisteredBackend> ReadRegistration(const TableRow& row);
   void UpdateFleet();
+  void UpdateFleetSoon();
   void ArmTimer();
   net::awaitable<void> ShareOutcomes();
   TableFollower& Follower(FollowedTable table) const {
@@ -64,7 +68,7 @@
   net::awaitable<void> Register();
   net::awaitable<void> Unregister();
   void OnStop();
-  HttpReply AnswerLookup(const TargetParts& target) const;
+  HttpReply AnswerLookup(const TargetParts& target);
   bool IsReady() const;
 
   schema::HostPlatformSettingsT host;
@@ -81,6 +85,7 @@
   schema::MemberUpdateT self;
   bool registry_read = false;
   bool members_read = false;
+  bool update_pending = false;
   bool stopping = false;
   std::uint64_t sequence = 0;
   Generation generation;
@@ -140,7 +145,7 @@
          !this->stopping;
 }
 
-HttpReply HostControl::State::AnswerLookup(const TargetParts& target) const {
+HttpReply HostControl::State::AnswerLookup(const TargetParts& target) {
   const FailureDomain domain(
       target.Parameter(this->adapter.lookup_zone_parameter));
   const auto lifetime = std::chrono::duration_cast<Duration>(
@@ -148,7 +153,8 @@
   HttpReply reply;
   reply.headers["content-type"] = "application/json";
   reply.body = this->adapter.write_lookup(
-      this->directory.AddressesFor(domain, this->clock.Now()), lifetime);
+      this->directory.AddressesFor(domain, this->random, this->clock.Now()),
+      lifetime);
   return reply;
 }
 
@@ -331,19 +337,43 @@
     }
   }
   this->members_read = true;
-  this->UpdateFleet();
+  this->UpdateFleetSoon();
+}
+
+// Members come and go by the hundred; each change would rebuild all views.
+void HostControl::State::UpdateFleetSoon() {
+  if (std::exchange(this->update_pending, true)) {
+    return;
+  }
+  auto pause = std::make_shared<net::steady_timer>(this->strand);
+  pause->expires_after(kMembersPause);
+  pause->async_wait([weak = this->weak_from_this(),
+                     pause](const boost::system::error_code& error) {
+    const auto self = weak.lock();
+    if (self && !error) {
+      self->UpdateFleet();
+    }
+  });
 }
 
 // Hands the entry a whole new state of the fleet.
 void HostControl::State::UpdateFleet() {
   const TimePoint now = this->clock.Now();
+  this->update_pending = false;
   this->registry.OnTimer(now);
   const std::uint32_t fleet_size =
       this->members_read
           ? static_cast<std::uint32_t>(this->directory.Members().size())
           : kAssumedMembers;
+  Cells cells = BuildCells(this->registry, this->directory);
   auto fleet =
-      BuildFleetUpdate(this->registry, this->directory, fleet_size, now);
+      BuildFleetUpdate(this->registry, this->directory, cells, fleet_size, now);
+  if (cells.IsWhole()) {
+    this->directory.SetMates({});
+  } else {
+    this->directory.SetMates(cells.EntriesWith(this->directory.Self()));
+  }
+  this->peers.SetCells(std::move(cells));
   fleet->sequence = ++this->sequence;
   this->metrics.SetMembers(this->directory.Members().size());
   this->metrics.SetRegistered(this->registry.Backends().size());
@@ -373,10 +403,13 @@
     pause.expires_after(kShareInterval);
     co_await pause.async_wait(kAwait);
     const auto evidence = this->entry.TakeEvidence();
+    this->peers.UpdateRole();
     this->TakeRole();
-    // One that does not serve falls silent, so that lookups leave it out also
+    // One that does not serve yet says so: lookups leave it out, and it need
+    // not read the store beside the readers. One that stops falls silent, also
     // while the store, and with it the members' table, is away.
-    if (this->IsReady()) {
+    if (!this->stopping) {
+      this->peers.SetServing(this->IsReady());
       this->peers.Share(evidence, this->Known(), this->ReadSince());
     }
   }
--- a/src/member_directory.cc
+++ b/src/member_directory.cc
@@ -10,6 +10,10 @@
 constexpr std::size_t kLeastInDomain = 4;
 // Longer answers are cut by callers.
 constexpr std::size_t kMostAddresses = 64;
+// Entries that may become readers: two read, and two are ready to follow them.
+constexpr std::size_t kCandidates = 4;
+// Names that fit a datagram beside the rest.
+constexpr std::size_t kMostToldSilent = 24;
 
 bool IsServing(const schema::MemberUpdateT& member) {
   return member.state != schema::MemberState::Dead &&
@@ -34,6 +38,7 @@
   if (instance.Value() != this->self.instance) {
     this->members.erase(instance);
     this->heard.erase(instance);
+    this->idle.erase(instance);
   }
 }
 
@@ -42,8 +47,21 @@
   this->members[InstanceId(this->self.instance)] = this->self;
 }
 
-void MemberDirectory::OnHeard(const InstanceId& instance, TimePoint now) {
+void MemberDirectory::OnHeard(const InstanceId& instance,
+                              TimePoint now,
+                              bool serving) {
   this->heard[instance] = now;
+  if (serving) {
+    this->idle.erase(instance);
+  } else {
+    this->idle.insert(instance);
+  }
+}
+
+bool MemberDirectory::IsAway(const schema::MemberUpdateT& member,
+                             TimePoint now) const {
+  return this->idle.contains(InstanceId(member.instance)) ||
+         this->IsSilent(member, now);
 }
 
 bool MemberDirectory::IsNear(const schema::MemberUpdateT& member) const {
@@ -68,12 +86,70 @@
   return near;
 }
 
-// One that was never heard may only just have started, or this entry has.
+// One that was never heard may only just have started, or this entry has; it
+// may also be in another cell, of which readers tell.
 bool MemberDirectory::IsSilent(const schema::MemberUpdateT& member,
                                TimePoint now) const {
-  const auto found = this->heard.find(InstanceId(member.instance));
-  return this->IsNear(member) && found != this->heard.end() &&
-         now - found->second > kSilence;
+  if (!this->IsNear(member)) {
+    return false;
+  }
+  const InstanceId instance(member.instance);
+  const auto found = this->heard.find(instance);
+  if (found != this->heard.end() && now - found->second <= kSilence) {
+    return false;
+  }
+  const bool told = now - this->told_silent_at <= kSilence &&
+                    this->told_silent.contains(instance);
+  return told || (found != this->heard.end() && this->Expects(instance));
+}
+
+// Only those who tell this entry that they live can be silent.
+bool MemberDirectory::Expects(const InstanceId& instance) const {
+  return this->mates.empty() || this->mates.contains(instance) ||
+         this->hears_all;
+}
+
+void MemberDirectory::SetMates(const std::vector<InstanceId>& mates) {
+  this->mates = {mates.begin(), mates.end()};
+}
+
+void MemberDirectory::UpdateCandidacy(TimePoint now) {
+  this->hears_all = this->IsCandidate(this->Self(), now);
+}
+
+bool MemberDirectory::IsCandidate(const InstanceId& instance,
+                                  TimePoint now) const {
+  std::size_t before = 0;
+  for (const auto& [each, member] : this->members) {
+    if (!(each < instance) || before >= kCandidates) {
+      break;
+    }
+    const bool is_self = each.Value() == this->self.instance;
+    before += is_self || (this->IsNear(member) && !this->IsSilent(member, now))
+                  ? 1
+                  : 0;
+  }
+  return before < kCandidates;
+}
+
+std::vector<std::string> MemberDirectory::SilentNear(TimePoint now) const {
+  std::vector<std::string> silent;
+  for (const auto& [instance, member] : this->members) {
+    if (silent.size() < kMostToldSilent && this->IsNear(member) &&
+        this->IsAway(member, now)) {
+      silent.push_back(member.instance);
+    }
+  }
+  return silent;
+}
+
+void MemberDirectory::OnToldSilent(const std::vector<std::string>& names,
+                                   TimePoint now) {
+  this->told_silent.clear();
+  for (const std::string& each : names) {
+    this->told_silent.emplace(each);
+  }
+  this->told_silent_at = now;
 }
 
 bool MemberDirectory::MostAreSilent(TimePoint now) const {
@@ -81,20 +157,21 @@
   std::size_t silent = 0;
   for (const auto& [instance, member] : this->members) {
     near += this->IsNear(member) ? 1 : 0;
-    silent += this->IsSilent(member, now) ? 1 : 0;
+    silent += this->IsNear(member) && this->IsAway(member, now) ? 1 : 0;
   }
   return 2 * silent > near;
 }
 
 std::vector<std::string> MemberDirectory::AddressesFor(
     const FailureDomain& domain,
+    RandomSource& random,
     TimePoint now) const {
   const bool trust_silence = !this->MostAreSilent(now);
   std::vector<std::string> near;
   std::vector<std::string> all;
   for (const auto& [instance, member] : this->members) {
     const bool left = this->leaving && instance.Value() == this->self.instance;
-    const bool silent = trust_silence && this->IsSilent(member, now);
+    const bool silent = trust_silence && this->IsAway(member, now);
     if (left || silent || !IsServing(member)) {
       continue;
     }
@@ -104,7 +181,12 @@
     }
   }
   std::vector<std::string>& chosen = near.size() >= kLeastInDomain ? near : all;
-  chosen.resize(std::min(chosen.size(), kMostAddresses));
+  if (chosen.size() > kMostAddresses) {
+    for (std::size_t i = 0; i < kMostAddresses; ++i) {
+      std::swap(chosen[i], chosen[i + random.Below(chosen.size() - i)]);
+    }
+    chosen.resize(kMostAddresses);
+  }
   return chosen;
 }
 
--- a/src/member_directory.h
+++ b/src/member_directory.h
@@ -9,12 +9,14 @@
 #define SRC_MEMBER_DIRECTORY_H_
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "src/clock.h"
 #include "src/generated/peer_generated.h"
 #include "src/ids.h"
+#include "src/random_source.h"
 
 namespace acacia {
 
@@ -27,15 +29,17 @@
   // Drops everyone but this entry.
   void Clear();
 
-  // A message came from this instance.
-  void OnHeard(const InstanceId& instance, TimePoint now);
+  // A message came from this instance; it serves callers, or does not yet.
+  void OnHeard(const InstanceId& instance, TimePoint now, bool serving = true);
 
   // The other entries of this failure domain that were heard lately, by name.
   std::vector<InstanceId> HeardNear(TimePoint now) const;
 
   // Caller addresses for a caller in `domain`: the live entries of its own
   // failure domain when there are enough of them, otherwise all live ones.
+  // Where there are more than fit an answer, others are named each time.
   std::vector<std::string> AddressesFor(const FailureDomain& domain,
+                                        RandomSource& random,
                                         TimePoint now) const;
 
   // An entry of this failure domain that is not heard for so long is silent.
@@ -47,6 +51,21 @@
 
   bool IsNear(const InstanceId& instance) const;
 
+  InstanceId Self() const { return InstanceId(this->self.instance); }
+  // The other entries that tell this one that they live; none: all of the
+  // failure domain.
+  void SetMates(const std::vector<InstanceId>& mates);
+  // Works out anew whether this entry is a candidate.
+  void UpdateCandidacy(TimePoint now);
+  bool HearsAll() const { return this->hears_all; }
+  // The first entries of this failure domain by name that are not silent; they
+  // hear and tell all of it.
+  bool IsCandidate(const InstanceId& instance, TimePoint now) const;
+  // Entries of this failure domain that are silent, as far as this one hears.
+  std::vector<std::string> SilentNear(TimePoint now) const;
+  // A reader, who hears the whole failure domain, says who is silent.
+  void OnToldSilent(const std::vector<std::string>& names, TimePoint now);
+
   // Takes this entry out of lookups.
   void Leave() { this->leaving = true; }
 
@@ -54,11 +73,20 @@
   bool IsNear(const schema::MemberUpdateT& member) const;
   bool IsSilent(const schema::MemberUpdateT& member, TimePoint now) const;
   bool MostAreSilent(TimePoint now) const;
+  // Callers must not be sent there.
+  bool IsAway(const schema::MemberUpdateT& member, TimePoint now) const;
+  bool Expects(const InstanceId& instance) const;
 
   schema::MemberUpdateT self;
   bool leaving = false;
   std::map<InstanceId, schema::MemberUpdateT> members;
   std::map<InstanceId, TimePoint> heard;
+  // Heard, but not serving.
+  std::set<InstanceId> idle;
+  std::set<InstanceId> mates;
+  bool hears_all = false;
+  std::set<InstanceId> told_silent;
+  TimePoint told_silent_at{};
 };
 
 }  // namespace acacia
--- a/src/peer_messages.cc
+++ b/src/peer_messages.cc
@@ -33,6 +33,8 @@
   share.configuration_since = since[At(FollowedTable::Configuration)].Value();
   share.registrations_since = since[At(FollowedTable::Registrations)].Value();
   share.members_since = since[At(FollowedTable::Members)].Value();
+  share.silent = heading.silent;
+  share.serving = heading.serving;
   for (const schema::BackendEvidenceT& each : evidence) {
     share.outcomes.push_back(std::make_unique<schema::BackendEvidenceT>(each));
   }
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -34,6 +34,10 @@
   TableVersions known;
   // Since when it has read each table without a gap; 0 while it does not.
   TableVersions since;
+  // Entries that a reader has not heard lately.
+  std::vector<std::string> silent{};
+  // The sender serves callers.
+  bool serving = true;
 };
 
 std::string SerializeShare(
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -322,6 +322,7 @@
     return;
   }
   this->refusal = action.kind;
+  this->retry_after = action.retry_after.value_or(kDefaultRetryAfter);
   this->CancelAttempts();
   this->Signal();
 }
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -8,6 +8,7 @@
 
 #include "src/log_event.h"
 #include "src/query_string.h"
+#include "src/retry_after.h"
 
 namespace acacia {
 namespace {
@@ -329,7 +330,9 @@
   this->LogRefusal(kind);
   this->metrics->errors[static_cast<std::size_t>(kind)]->Increment();
   this->WriteSpan(AnswerFor(kind).name);
-  co_return co_await this->WriteReply(BuildErrorAnswer(kind));
+  co_return co_await this->WriteReply(BuildErrorAnswer(
+      kind, FormatRetryAfter(this->retry_after,
+                             this->context.dialect.fractional_retry_after)));
 }
 
 net::awaitable<bool> ProxyExchange::WriteReply(StringResponse reply) {
@@ -401,6 +404,10 @@
       .With("route", this->exchange ? this->exchange->work.latency_key : "")
       .With("error", answer.name)
       .With("ms", waited.count())
+      .With("retry_after_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                this->retry_after)
+                .count())
       .With("generation", this->generation);
 }
 
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -21,6 +21,7 @@
 #include "src/error_answer.h"
 #include "src/proxy_attempt.h"
 #include "src/request_registry.h"
+#include "src/retry_after.h"
 
 namespace acacia {
 
@@ -131,6 +132,7 @@
   // The attempt whose answer the caller gets.
   std::shared_ptr<ProxyAttempt> relaying;
   std::optional<ErrorKind> refusal;
+  Duration retry_after = kDefaultRetryAfter;
   std::optional<BodyError> caller_failed;
 
   std::mutex mailbox_mutex;
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -25,6 +25,10 @@
 // Pause between a change and the next call, so that a burst of changes costs
 // few calls. Small beside the seconds in which changes must be in force.
 constexpr std::chrono::milliseconds kBatchPause{350};
+// After the first reading, before the first wait for changes: when hundreds
+// start together, most of their rows are then in one answer, and readers have
+// shown themselves.
+constexpr std::chrono::milliseconds kSettleTime{400};
 // The first pause after a failed call.
 constexpr Duration kFirstPause = std::chrono::milliseconds(100);
 
@@ -84,8 +88,11 @@
 };
 
 net::awaitable<void> TableFollower::State::Run() {
+  bool has_settled = false;
   while (!this->stopped) {
-    if (this->needs_whole) {
+    if (!this->needs_whole && !std::exchange(has_settled, true)) {
+      co_await this->Pause(kSettleTime);
+    } else if (this->needs_whole) {
       co_await this->ReadWhole();
     } else if (this->MayRelyOnOthers()) {
       co_await this->AwaitOthers();
--- a/test/correctness/entry_peers_test.cc
+++ b/test/correctness/entry_peers_test.cc
@@ -66,7 +66,14 @@
         this->entries.back()->directory.Put(member);
       }
     }
+    std::vector<EntryPlace> places;
+    for (const auto& member : this->members) {
+      places.push_back({InstanceId(member.instance), FailureDomain("a")});
+    }
+    Cells cells;
+    cells.Build(places, {});
     for (const auto& entry : this->entries) {
+      entry->peers.SetCells(cells);
       entry->peers.Share({}, kSince, kSince);
     }
     RunUntil(this->context, [this] {
@@ -75,6 +82,9 @@
             return each->directory.HeardNear(this->clock.Now()).size() == 2;
           });
     });
+    for (const auto& entry : this->entries) {
+      entry->peers.UpdateRole();
+    }
   }
 
   // Stands still, so that no claim ends.
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -314,7 +314,7 @@
   constexpr milliseconds kBetweenRequests{600};
   SeededRandom random(seed);
   ServiceView view;
-  view.fleet_size = kEntries;
+  view.cell_size = kEntries;
   for (int i = 0; i < 30; ++i) {
     view.backend_servers.push_back({PoolFixture::Id(i), FailureDomain("a"), 2});
   }
--- a/test/correctness/fleet_state_test.cc
+++ b/test/correctness/fleet_state_test.cc
@@ -21,7 +21,7 @@
   schema::MemberUpdateT self;
   self.instance = "e1";
   const MemberDirectory directory(self);
-  const auto fleet = BuildFleetUpdate(registry, directory, 9, kNow);
+  const auto fleet = BuildFleetUpdate(registry, directory, Cells(), 9, kNow);
   CHECK(fleet->fleet_size == 9);
   CHECK(fleet->members.size() == 1);
   REQUIRE(fleet->services.size() == 1);
--- a/test/correctness/member_directory_test.cc
+++ b/test/correctness/member_directory_test.cc
@@ -6,6 +6,7 @@
 namespace {
 
 const TimePoint kNow{std::chrono::seconds(1000)};
+SeededRandom random(1);
 
 schema::MemberUpdateT Member(const std::string& name,
                              const std::string& domain) {
@@ -23,15 +24,17 @@
     directory.Put(Member("a" + std::to_string(i), "a"));
     directory.Put(Member("b" + std::to_string(i), "b"));
   }
-  CHECK(directory.AddressesFor(FailureDomain("a"), kNow).size() == 5);
-  CHECK(directory.AddressesFor(FailureDomain("b"), kNow).size() == 4);
-  CHECK(directory.AddressesFor(FailureDomain("elsewhere"), kNow).size() == 9);
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, kNow).size() == 5);
+  CHECK(directory.AddressesFor(FailureDomain("b"), random, kNow).size() == 4);
+  CHECK(
+      directory.AddressesFor(FailureDomain("elsewhere"), random, kNow).size() ==
+      9);
 }
 
 TEST_CASE("too few in a failure domain: callers get all") {
   MemberDirectory directory(Member("a0", "a"));
   directory.Put(Member("b1", "b"));
-  CHECK(directory.AddressesFor(FailureDomain("a"), kNow).size() == 2);
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, kNow).size() == 2);
 }
 
 TEST_CASE("dead, leaving and removed entries are not named") {
@@ -41,10 +44,10 @@
   directory.Put(dead);
   directory.Put(Member("a2", "a"));
   directory.Remove(InstanceId("a2"));
-  CHECK(directory.AddressesFor(FailureDomain("a"), kNow) ==
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, kNow) ==
         std::vector<std::string>{"a0:1"});
   directory.Leave();
-  CHECK(directory.AddressesFor(FailureDomain("a"), kNow).empty());
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, kNow).empty());
 }
 
 TEST_CASE("an answer names at most 64 entries") {
@@ -52,7 +55,7 @@
   for (int i = 1; i < 100; ++i) {
     directory.Put(Member("a" + std::to_string(i), "a"));
   }
-  CHECK(directory.AddressesFor(FailureDomain("a"), kNow).size() == 64);
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, kNow).size() == 64);
 }
 
 TEST_CASE("an entry that falls silent leaves the answers until it is heard") {
@@ -66,9 +69,68 @@
   for (int i = 1; i < 5; ++i) {
     directory.OnHeard(InstanceId("a" + std::to_string(i)), later);
   }
-  CHECK(directory.AddressesFor(FailureDomain("a"), later).size() == 5);
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, later).size() == 5);
   directory.OnHeard(InstanceId("a5"), later);
-  CHECK(directory.AddressesFor(FailureDomain("a"), later).size() == 6);
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, later).size() == 6);
+}
+
+TEST_CASE("an entry that says that it does not serve yet is not named") {
+  MemberDirectory directory(Member("a0", "a"));
+  for (int i = 1; i < 6; ++i) {
+    const std::string name = "a" + std::to_string(i);
+    directory.Put(Member(name, "a"));
+    directory.OnHeard(InstanceId(name), kNow, i > 1);
+  }
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, kNow).size() == 5);
+  // It may read the store for others all the same.
+  CHECK(directory.HeardNear(kNow).size() == 5);
+  directory.OnHeard(InstanceId("a1"), kNow);
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, kNow).size() == 6);
+}
+
+TEST_CASE("more entries than fit an answer all get callers") {
+  MemberDirectory directory(Member("a0", "a"));
+  for (int i = 1; i < 88; ++i) {
+    directory.Put(Member("a" + std::to_string(i), "a"));
+  }
+  std::map<std::string, int> named;
+  for (int i = 0; i < 200; ++i) {
+    for (const auto& each :
+         directory.AddressesFor(FailureDomain("a"), random, kNow)) {
+      ++named[each];
+    }
+  }
+  CHECK(named.size() == 88);
+  for (const auto& [address, count] : named) {
+    // 145 times on average.
+    CHECK(count > 100);
+  }
+}
+
+TEST_CASE("readers tell who is silent in cells that an entry does not hear") {
+  MemberDirectory directory(Member("a90", "a"));
+  for (int i = 10; i < 30; ++i) {
+    const std::string name = "a" + std::to_string(i);
+    directory.Put(Member(name, "a"));
+    directory.OnHeard(InstanceId(name), kNow);
+  }
+  directory.SetMates({InstanceId("a28"), InstanceId("a29")});
+  directory.UpdateCandidacy(kNow);
+  const TimePoint later = kNow + 2 * MemberDirectory::kSilence;
+  directory.OnHeard(InstanceId("a28"), later);
+  directory.OnHeard(InstanceId("a29"), later);
+  const FailureDomain domain("a");
+  // Nobody else is expected to say anything.
+  CHECK(directory.AddressesFor(domain, random, later).size() == 21);
+  directory.OnToldSilent({"a15", "a16"}, later);
+  CHECK(directory.AddressesFor(domain, random, later).size() == 19);
+  // Its own ears go first, and the word of a reader does not last.
+  directory.OnHeard(InstanceId("a15"), later);
+  CHECK(directory.AddressesFor(domain, random, later).size() == 20);
+  const TimePoint much_later = later + 2 * MemberDirectory::kSilence;
+  directory.OnHeard(InstanceId("a28"), much_later);
+  directory.OnHeard(InstanceId("a29"), much_later);
+  CHECK(directory.AddressesFor(domain, random, much_later).size() == 21);
 }
 
 TEST_CASE("when most are silent at once, nobody is left out") {
@@ -80,14 +142,16 @@
   }
   const TimePoint later = kNow + 2 * MemberDirectory::kSilence;
   directory.OnHeard(InstanceId("a1"), later);
-  CHECK(directory.AddressesFor(FailureDomain("a"), later).size() == 6);
+  CHECK(directory.AddressesFor(FailureDomain("a"), random, later).size() == 6);
 }
 
 TEST_CASE("entries of other failure domains are not judged by their silence") {
   MemberDirectory directory(Member("a0", "a"));
   directory.Put(Member("b1", "b"));
   directory.OnHeard(InstanceId("b1"), kNow);
-  CHECK(directory.AddressesFor(FailureDomain("b"), kNow + std::chrono::hours(1))
+  CHECK(directory
+            .AddressesFor(FailureDomain("b"), random,
+                          kNow + std::chrono::hours(1))
             .size() == 2);
 }
 
