Log a change of belief once, and what each choice rested on

Change: the entry whose own attempt changed a belief writes it; attempt_ended carries the belief that the choice rested on (known load, age of the last good answer, suspicion and whose attempt caused it). A whole reading of the members is one line.

--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -100,6 +100,11 @@
       TimePoint /*now*/) {}
   virtual std::vector<schema::BackendEvidenceT> TakeEvidence(TimePoint now) = 0;
   virtual std::vector<std::string> Explain(TimePoint now) const = 0;
+  // What a choice of this backend server rests on now, in one word for the log.
+  virtual std::string DescribeBelief(const PooledBackend& /*backend*/,
+                                     TimePoint /*now*/) const {
+    return "";
+  }
 };
 
 }  // namespace acacia
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -140,11 +140,13 @@
     this->by_overdue.emplace(now + *slow, work.request, attempt.id);
   }
   request.running.push_back(attempt);
+  std::string belief = this->pool->DescribeBelief(backend, now);
   this->pool->OnStart(backend, work, now);
   this->by_deadline.emplace(work.deadline, work.request);
-  this->actions.push_back(StartAttempt{
-      work.request, request.last_attempt, backend.server.id, !work.idempotent,
-      backend.server.address, backend.server.expected_instance});
+  this->actions.push_back(
+      StartAttempt{work.request, request.last_attempt, backend.server.id,
+                   !work.idempotent, backend.server.address,
+                   backend.server.expected_instance, std::move(belief)});
 }
 
 void Dispatcher::State::Pump(TimePoint now) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -95,6 +95,8 @@
   // Of the backend server.
   std::string address{};
   std::string expected_instance{};
+  // What was believed of the backend server, for the log.
+  std::string belief{};
 };
 
 // Stop the attempt and close its connection; no report is expected.
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -305,19 +305,25 @@
   const bool before = backend.shared.IsSuspect(now);
   backend.shared.AddBad(weight, now);
   if (!before && backend.shared.IsSuspect(now)) {
+    backend.suspected_by = source;
+  }
+  // The entry that saw it logs it, once for the fleet; what the others believe
+  // stands in the lines of their attempts.
+  if (!before && backend.shared.IsSuspect(now) && source == kOwn) {
     LogEvent("backend_suspected", LogSeverity::kWarning)
         .With("service", this->service)
         .With("backend_server", backend.server.id)
-        .With("seen_by", source)
         .With("suspicion", backend.shared.Suspicion(now));
   }
   this->ScheduleProbe(backend, now);
 }
 
-void FleetPool::AddGood(FleetBackend& backend, TimePoint now) {
+void FleetPool::AddGood(FleetBackend& backend,
+                        const std::string& source,
+                        TimePoint now) {
   const bool before = backend.shared.IsSuspect(now);
   backend.shared.AddGood(now);
-  if (before && !backend.shared.IsSuspect(now)) {
+  if (before && !backend.shared.IsSuspect(now) && source == kOwn) {
     LogEvent("backend_trusted")
         .With("service", this->service)
         .With("backend_server", backend.server.id);
@@ -343,7 +349,7 @@
         return;
       }
       ++backend.good;
-      return this->AddGood(backend, now);
+      return this->AddGood(backend, kOwn, now);
     }
     case AttemptResult::kServerError:
       ++backend.server_errors;
@@ -458,7 +464,7 @@
                        suspicion::kSlow * each.slow +
                        suspicion::kSilent * each.silent;
     for (std::uint32_t i = 0; i < each.good; ++i) {
-      this->AddGood(*backend, now);
+      this->AddGood(*backend, from, now);
     }
     if (bad > 0) {
       this->AddBad(*backend, bad, from, now);
@@ -503,6 +509,23 @@
   return evidence;
 }
 
+std::string FleetPool::DescribeBelief(const PooledBackend& pooled,
+                                      TimePoint now) const {
+  const auto& backend = static_cast<const FleetBackend&>(pooled);
+  std::ostringstream text;
+  text << "load:" << KnownLoad(backend, now) << "/" << backend.server.slots;
+  if (backend.shared.LastGood() > TimePoint{}) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - backend.shared.LastGood());
+    text << ",good_ms_ago:" << age.count();
+  }
+  if (backend.shared.IsSuspect(now)) {
+    text << ",suspicion:" << backend.shared.Suspicion(now)
+         << ",seen_by:" << backend.suspected_by;
+  }
+  return text.str();
+}
+
 std::vector<std::string> FleetPool::Explain(TimePoint now) const {
   std::vector<std::string> lines;
   for (const FleetBackend* backend : this->listed) {
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -41,6 +41,8 @@
   // What the other entries know of this one's attempts there, and since when.
   std::uint32_t passed_in_flight = 0;
   TimePoint passed_at{};
+  // Which entry made it a suspect.
+  std::string suspected_by;
   // The next idempotent request that shows whether a suspect is well again.
   TimePoint next_probe{};
   // This entry's outcomes since they were last taken.
@@ -89,6 +91,8 @@
                        TimePoint now) override;
   std::vector<schema::BackendEvidenceT> TakeEvidence(TimePoint now) override;
   std::vector<std::string> Explain(TimePoint now) const override;
+  std::string DescribeBelief(const PooledBackend& backend,
+                             TimePoint now) const override;
 
  private:
   using Candidates = std::vector<FleetBackend*>;
@@ -109,7 +113,7 @@
               double weight,
               const std::string& source,
               TimePoint now);
-  void AddGood(FleetBackend& backend, TimePoint now);
+  void AddGood(FleetBackend& backend, const std::string& source, TimePoint now);
   void ScheduleProbe(FleetBackend& backend, TimePoint now);
   static bool IsQueueing(const FleetBackend& backend, TimePoint now);
   // Attempts there, as far as this entry knows.
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -320,6 +320,9 @@
 void HostControl::State::OnMembers(const TableRows& rows, bool whole) {
   if (whole) {
     this->directory.Clear();
+    LogEvent("members_read")
+        .With("count", rows.rows.size())
+        .With("version", rows.version);
   }
   for (const TableRow& row : rows.rows) {
     if (row.removed) {
@@ -331,9 +334,12 @@
     }
     if (const auto member = ParseMember(row.value)) {
       this->directory.Put(*member);
-      LogEvent("member_joined")
-          .With("instance", row.key)
-          .With("row_version", row.version);
+      // Those of a whole reading were counted above.
+      if (!whole) {
+        LogEvent("member_joined")
+            .With("instance", row.key)
+            .With("row_version", row.version);
+      }
     }
   }
   this->members_read = true;
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -384,6 +384,9 @@
       .With("result", AttemptResultName(result))
       .With("ms", taken.count())
       .With("connection", this->reused ? "reused" : "new");
+  if (!this->start.belief.empty()) {
+    event.With("belief", this->start.belief);
+  }
   if (this->head_arrived) {
     event.With("status", this->parser->get().result_int());
   }
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -300,6 +300,21 @@
   CHECK(evidence[0].silent + evidence[0].slow == 0);
 }
 
+TEST_CASE("the log says what a choice rests on") {
+  PoolFixture f;
+  f.Tell(0, 1, 0);
+  f.now += milliseconds(200);
+  PooledBackend* backend = nullptr;
+  while (backend == nullptr || !(backend->server.id == f.Id(0))) {
+    backend = f.Pick(false);
+  }
+  f.pool.OnStart(*backend, f.MakeWork(false), f.now);
+  CHECK(f.pool.DescribeBelief(*backend, f.now) == "load:1/4,good_ms_ago:200");
+  f.Tell(0, 0, 1);
+  CHECK(f.pool.DescribeBelief(*backend, f.now) ==
+        "load:1/4,good_ms_ago:200,suspicion:1,seen_by:other");
+}
+
 // Probes of one suspect by a fleet of 88 entries in three failure domains, each
 // with a request in 600 ms, until the first probe's answer is known.
 struct ProbeRound {
