--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -6,9 +6,9 @@
 #include <utility>
 #include <vector>
 
+#include "src/caller_session.h"
 #include "src/listener.h"
 #include "src/log_event.h"
-#include "src/caller_session.h"
 
 namespace acacia {
 namespace {
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -45,7 +45,8 @@
       this->strand, this->Run(),
       [self = this->shared_from_this()](const std::exception_ptr& error) {
         if (error) {
-          LogEvent("session_failed", LogSeverity::kError);
+          LogEvent("session_failed", LogSeverity::kError)
+              .With("unanswered", self->exchanges.size());
           self->Fail(BodyError::kClosed);
         }
         self->caller.Close();
@@ -114,7 +115,7 @@
   auto exchange =
       std::make_shared<ProxyExchange>(this->context, this->shared_from_this());
   this->exchanges.push_back(exchange);
-  net::co_spawn(this->strand, exchange->Run(std::move(head)),
+  net::co_spawn(this->strand, exchange->Run(head),
                 [self = this->shared_from_this(), exchange](
                     const std::exception_ptr& error, bool keep) {
                   if (error) {
--- a/src/cells.cc
+++ b/src/cells.cc
@@ -70,9 +70,9 @@
 }
 
 const std::vector<InstanceId>& Cells::EntriesIn(const Cell& cell) const {
-  static const std::vector<InstanceId> kNone;
+  static const std::vector<InstanceId> none;
   const auto found = this->entries.find(cell);
-  return found == this->entries.end() ? kNone : found->second;
+  return found == this->entries.end() ? none : found->second;
 }
 
 const std::vector<InstanceId>& Cells::EntriesWith(
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -25,6 +25,8 @@
 // Answers to other requests that are read and thrown away before the one that
 // is awaited.
 constexpr int kMostSkipped = 2;
+// A longer one may have no end; reading on would cost the caller its time.
+constexpr std::size_t kMostSkippedBytes = 256 * 1024;
 
 // Seconds in "timeout=N" of a Keep-Alive header; zero without one.
 Duration IdleLimit(std::string_view keep_alive) {
@@ -103,11 +105,13 @@
     co_return false;
   }
   std::vector<char> space(kRelayBytes);
+  std::size_t skipped = 0;
   while (!this->parser->is_done()) {
     const BodyPiece piece = co_await ReadBodyPiece<false>(
         this->connection->socket, this->connection->buffer, *this->parser,
         net::buffer(space));
-    if (piece.error) {
+    skipped += piece.bytes;
+    if (piece.error || skipped > kMostSkippedBytes) {
       co_return false;
     }
   }
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -198,6 +198,71 @@
   CHECK(Field(answer, "Content-Length") == "9");
 }
 
+// Sends the beginning, then the rest again and again until the entry closes.
+BackendScript Endless(const std::string& beginning, const std::string& rest) {
+  return [=](TextStream& stream, const std::string&) {
+    bool open = stream.Send(beginning);
+    while (open) {
+      open = stream.Send(rest);
+    }
+    return false;
+  };
+}
+
+TEST_CASE("bytes without end that are no answer end the attempt at once") {
+  const std::string rest(4096, 'x');
+  const std::string foreign_head =
+      "HTTP/1.1 200 OK\r\nX-Acaciaswitch-Request-Id: other\r\n"
+      "X-Acaciaswitch-Response-Signature: s\r\nTransfer-Encoding: chunked"
+      "\r\n\r\n";
+  struct Case {
+    std::string beginning;
+    std::string rest;
+  };
+  const std::vector<Case> cases{
+      // No head at all, a head without end, and the body of an answer to
+      // another request.
+      {"", rest},
+      {"HTTP/1.1 200 OK\r\nX-Long: ", rest},
+      {"HTTP/1.1 200 OK\r\n", "X-More: " + rest + "\r\n"},
+      {foreign_head, "1000\r\n" + rest + "\r\n"}};
+  for (const Case& each : cases) {
+    INFO(each.beginning);
+    HostFixture f(Endless(each.beginning, each.rest));
+    // Work that may run once: one attempt, which may have run.
+    const auto began = std::chrono::steady_clock::now();
+    CHECK(StatusOf(f.Ask(kPost)) == 502);
+    // The caller would wait for five seconds.
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(4));
+    // Safe work is tried elsewhere first, and ends the same way.
+    CHECK(StatusOf(f.Ask(kGet)) == 502);
+  }
+}
+
+TEST_CASE(
+    "a failure with a body without end is passed on until the caller leaves") {
+  std::atomic<bool> ended{false};
+  HostFixture f([&](TextStream& stream, const std::string&) {
+    bool open = stream.Send(
+        "HTTP/1.1 500 Broken\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n");
+    const std::string chunk = "1000\r\n" + std::string(4096, 'x') + "\r\n";
+    while (open) {
+      open = stream.Send(chunk);
+    }
+    ended = true;
+    return false;
+  });
+  TextStream caller = f.Connect();
+  caller.Send(kPost);
+  CHECK(caller.ReadUntil("\r\n\r\n").starts_with("HTTP/1.1 500"));
+  CHECK(caller.ReadBytes(1024 * 1024).size() == 1024 * 1024);
+  caller.Close();
+  while (!ended) {
+    std::this_thread::yield();
+  }
+}
+
 TEST_CASE("an older configuration does not replace a newer one") {
   HostFixture f([](TextStream& stream, const std::string&) {
     return stream.Send(Signed("abc", "body"));
