Keep what a reader says of silent entries between its heartbeats

Cause: found while reading the diff. Each message of a reader replaces the list of silent entries, and those between heartbeats carried none, so that entries of other cells named a dead entry to callers again after 40 ms. Shown by a test that failed first.

--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -81,9 +81,10 @@
   heading.serving = this->serving;
   if (is_heartbeat) {
     this->heartbeat_at = now;
-    if (this->role != ReaderRole::kListener) {
-      heading.silent = this->directory.SilentNear(now);
-    }
+  }
+  // Each message of a reader replaces what it said before.
+  if (this->role != ReaderRole::kListener) {
+    heading.silent = this->directory.SilentNear(now);
   }
   const std::vector<InstanceId>& mates =
       this->cells.EntriesWith(this->directory.Self());
--- a/test/correctness/entry_peers_test.cc
+++ b/test/correctness/entry_peers_test.cc
@@ -131,5 +131,24 @@
   CHECK(f.entries[2]->relayed.front().rows[0].value.size() == 4000);
 }
 
+TEST_CASE("what a reader says of silent entries lasts between heartbeats") {
+  PeersFixture f;
+  const schema::MemberUpdateT stranger = Member("a9");
+  f.entries[0]->directory.Put(stranger);
+  f.entries[2]->directory.Put(stranger);
+  f.entries[0]->directory.OnHeard(InstanceId("a9"), f.clock.Now(), false);
+  const auto told = [&f] {
+    return f.entries[2]->directory.SilentNear(f.clock.Now()) ==
+           std::vector<std::string>{"a9"};
+  };
+  f.entries[0]->peers.ShareSoon();
+  f.entries[0]->peers.Share({}, kSince, kSince);
+  RunUntil(f.context, told);
+  constexpr TableVersions kNewer{RowVersion(6), RowVersion(6), RowVersion(6)};
+  f.entries[0]->peers.Share({schema::BackendEvidenceT()}, kNewer, kSince);
+  RunUntil(f.context, [&] { return f.entries[2]->known == kNewer; });
+  CHECK(told());
+}
+
 }  // namespace
 }  // namespace acacia
