Keep to the rate limits that backend servers name

What callers saw: nothing; a backend server in need got up to three times the requests per second that it had named for all entries together. Cause: the limit was not decoded, and nothing held a rate over the fleet. The choice by load gave each backend server its share of the service's requests. Failing before: the test in host_proxy_test, on the code before: 60 <= 22.0 fails (60 of 60 requests passed on). Change: every entry keeps a token bucket per limit, charged for its own attempts and those that other entries report; overdrafts are paid back, and each entry waits for a level of its own. Requests that no limit leaves room for are refused at once and told when to return.

--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -74,6 +74,19 @@
   virtual void OnReportedLoad(PooledBackend& backend,
                               const ReportedLoad& load,
                               TimePoint now) = 0;
+  // An answer named the backend server's rate limit, or none. `result` is that
+  // of the attempt, which began at `started`.
+  virtual void OnRateLimit(PooledBackend& /*backend*/,
+                           std::optional<double> /*requests_per_second*/,
+                           AttemptResult /*result*/,
+                           TimePoint /*started*/,
+                           TimePoint /*now*/) {}
+  // True when the rate limits that backend servers named leave none, among
+  // those that are not excluded, to which a request may be sent now.
+  virtual bool AllAtRateLimit(const std::vector<BackendId>& /*excluded*/,
+                              TimePoint /*now*/) const {
+    return false;
+  }
   virtual void OnOverdue(PooledBackend& backend,
                          const OverdueAttempt& attempt,
                          TimePoint now) = 0;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -22,6 +22,9 @@
   std::string deadline;
   // Header with the load that a backend server reports.
   std::string load;
+  // Header with the requests per second that a backend server takes from all
+  // entries together. Not read if empty.
+  std::string rate_limit;
   // Header that names the intended backend server; any other refuses the
   // request. Not sent if empty.
   std::string expected_instance;
@@ -42,6 +45,8 @@
   std::function<bool(const boost::beast::http::response_header<>& head)>
       announces_leaving;
   std::function<std::optional<ReportedLoad>(std::string_view text)> parse_load;
+  // Returns requests per second. Set if `rate_limit` is.
+  std::function<std::optional<double>(std::string_view text)> parse_rate_limit;
 };
 
 // Returns the default dialect, documented in docs/CALLERS.md and
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -45,6 +45,7 @@
   RequestState* Find(RequestId request);
   bool Admit(const Work& work, TimePoint now);
   void Enqueue(RequestState& request, TimePoint now);
+  void EnqueueOrRefuse(RequestState& request, TimePoint now);
   bool TryStart(RequestState& request, TimePoint now);
   void StartOn(RequestState& request, PooledBackend& backend, TimePoint now);
   void StartQueued(TimePoint now);
@@ -115,6 +116,16 @@
   }
 }
 
+// A request that no backend server may take for its rate limit is refused at
+// once, so that the caller can return when one may.
+void Dispatcher::State::EnqueueOrRefuse(RequestState& request, TimePoint now) {
+  if (this->chooser->AllAtRateLimit(request.failed, now)) {
+    this->Refuse(request.work.request, ErrorKind::kRateLimited, now);
+  } else {
+    this->Enqueue(request, now);
+  }
+}
+
 bool Dispatcher::State::TryStart(RequestState& request, TimePoint now) {
   PooledBackend* backend = this->chooser->Pick(
       {request.work, request.failed, this->CanRetry(request, now)}, now);
@@ -225,7 +236,8 @@
   if (!replayable || now + expected_latency >= request.work.deadline ||
       request.last_attempt.Value() >= kMaxAttempts ||
       !this->HasAttemptsLeft(request) ||
-      !this->chooser->HasAlternative(request.failed)) {
+      !this->chooser->HasAlternative(request.failed) ||
+      this->chooser->AllAtRateLimit(request.failed, now)) {
     return false;
   }
   if (this->windowed_budget && result == AttemptResult::kNotSent) {
@@ -274,7 +286,7 @@
 
 void Dispatcher::State::Retry(RequestState& request, TimePoint now) {
   if (!this->TryStart(request, now)) {
-    this->Enqueue(request, now);
+    this->EnqueueOrRefuse(request, now);
   }
 }
 
@@ -443,7 +455,7 @@
     state.Refuse(work.request, ErrorKind::kNoBackend, now);
   } else if (state.queue.Size(work.work_class) > 0 ||
              !state.TryStart(request, now)) {
-    state.Enqueue(request, now);
+    state.EnqueueOrRefuse(request, now);
   }
   return state.TakeActions(now);
 }
@@ -509,6 +521,8 @@
     state.chooser->OnReportedLoad(*attempt->backend, *report.reported_load,
                                   now);
   }
+  state.chooser->OnRateLimit(*attempt->backend, report.rate_limit,
+                             report.result, attempt->started, now);
   if (request->relayed) {
     if (report.result != AttemptResult::kSuccess &&
         report.result != AttemptResult::kServerError) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -87,6 +87,9 @@
   // The load that the backend server reported; may be stale or wrong (see
   // reported_load.h).
   std::optional<ReportedLoad> reported_load;
+  // The requests per second that the backend server takes from all entries
+  // together; nullopt when its answer names no limit.
+  std::optional<double> rate_limit{};
 };
 
 struct StartAttempt {
--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -127,7 +127,9 @@
 }
 
 // Sends evidence about suspects to the entries of their cells, or to all
-// entries of a small fleet.
+// entries of a small fleet. What concerns a rate limit goes to all entries that
+// count towards it: those of the backend server's cell, or all entries while
+// the failure domains are not divided into cells.
 void EntryPeers::SendEvidenceBeyondCell(
     const ShareHeader& header,
     const std::vector<schema::BackendEvidenceT>& evidence) {
@@ -136,10 +138,12 @@
   const bool is_small = this->directory.Members().size() <= kSmallFleetEntries;
   for (const schema::BackendEvidenceT& each : evidence) {
     const BackendId backend(each.id);
-    if (!each.avoided) {
+    const bool is_about_rate_limit =
+        each.started > 0 || each.rate_limit >= 0 || each.rate_limit_ended;
+    if (!each.avoided && !is_about_rate_limit) {
       continue;
     }
-    if (is_small) {
+    if (is_small || (is_about_rate_limit && this->cells.IsUndivided())) {
       for (const auto& [instance, member] : this->directory.Members()) {
         evidence_by_recipient[instance].push_back(each);
       }
--- a/src/error_kind.cc
+++ b/src/error_kind.cc
@@ -45,6 +45,8 @@
      "No backend server could be connected to."},
     {kBackendRefused, "backend_refused", 503, kNotRun, true,
      "Every backend server asked refused the request."},
+    {kRateLimited, "rate_limited", 503, kNotRun, true,
+     "Every backend server is at the rate limit that it named."},
     {kBackendBroken, "backend_broken", 502, kUnknown, false,
      "The connection to the backend server broke."},
     {kBackendTimeout, "backend_timeout", 504, kUnknown, false,
--- a/src/error_kind.h
+++ b/src/error_kind.h
@@ -26,9 +26,10 @@
   kDuplicateKey,
   kKeyUnverifiable,
   kRetryBudgetSpent,
-  // Every attempt provably did not run.
+  // Every attempt provably did not run, or there was none.
   kConnectFailed,
   kBackendRefused,
+  kRateLimited,
   // The request may have run.
   kBackendBroken,
   kBackendTimeout,
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -57,6 +57,10 @@
 constexpr double kMinLateShare = 0.25;
 constexpr double kMaxLateShare = 0.6;
 
+// While some backend servers are at their rate limits, the others get no more
+// requests from this load per slot on.
+constexpr double kMaxOverflowPerSlot = 2;
+
 constexpr std::size_t kPercent = 100;
 
 bool IsExcluded(const std::vector<BackendId>& ids, const BackendId& id) {
@@ -87,6 +91,7 @@
 void FleetPool::Apply(const ServiceView& view, TimePoint /*now*/) {
   this->floor_percent = view.policy.floor_percent;
   this->cell_size = std::max(view.cell_size, 1U);
+  this->is_divided = !view.cell_backends.empty();
   this->listed.clear();
   for (auto& [id, backend] : this->backends) {
     backend->in_view = false;
@@ -116,32 +121,65 @@
   return found == this->backends.end() ? nullptr : found->second.get();
 }
 
-FleetPool::Candidates FleetPool::SelectUsable(
-    const PickRequest& request) const {
-  Candidates usable;
+// An entry that does not hear of the attempts of all others cannot count them,
+// so it leaves what the limit allows to those that do.
+bool FleetPool::IsWithinRateLimit(const FleetBackend& backend,
+                                  TimePoint now) const {
+  const bool counts_all = !this->is_divided || backend.is_home;
+  return counts_all ? backend.rate_limit.Allows(now)
+                    : !backend.rate_limit.IsActive(now);
+}
+
+bool FleetPool::AllAtRateLimit(const std::vector<BackendId>& excluded,
+                               TimePoint now) const {
+  Candidates in_service = this->SelectInService(excluded);
+  return !in_service.empty() &&
+         this->SelectWithinRateLimits(
+                 this->SelectTrusted(std::move(in_service), now), now)
+             .empty();
+}
+
+FleetPool::Candidates FleetPool::SelectInService(
+    const std::vector<BackendId>& excluded) const {
+  Candidates in_service;
   for (FleetBackend* backend : this->listed) {
-    if (backend->IsInService() &&
-        !IsExcluded(request.excluded, backend->server.id)) {
-      usable.push_back(backend);
+    if (backend->IsInService() && !IsExcluded(excluded, backend->server.id)) {
+      in_service.push_back(backend);
     }
   }
-  return usable;
+  return in_service;
+}
+
+// While some backend servers may get no more requests, the requests that they
+// would have received must not all queue at the others.
+FleetPool::Candidates FleetPool::SelectWithinRateLimits(Candidates trusted,
+                                                        TimePoint now) const {
+  const std::size_t at_limit =
+      std::erase_if(trusted, [this, now](const FleetBackend* each) {
+        return !this->IsWithinRateLimit(*each, now);
+      });
+  if (at_limit > 0) {
+    std::erase_if(trusted, [now](const FleetBackend* each) {
+      return EstimateLoad(*each, now) >=
+             kMaxOverflowPerSlot * each->server.slots;
+    });
+  }
+  return trusted;
 }
 
 PooledBackend* FleetPool::Pick(const PickRequest& request, TimePoint now) {
-  const Candidates usable = this->SelectUsable(request);
-  if (usable.empty()) {
-    return nullptr;
-  }
+  const Candidates in_service = this->SelectInService(request.excluded);
   // Below the floor, suspects are probed even by requests that cannot be
   // retried, because the service needs the capacity.
-  if (CanProbe(request) ||
-      (IsFirstIdempotentAttempt(request) && this->IsBelowFloor(usable, now))) {
-    if (FleetBackend* probe = this->PickProbe(usable, now)) {
+  if (CanProbe(request) || (IsFirstIdempotentAttempt(request) &&
+                            this->IsBelowFloor(in_service, now))) {
+    if (FleetBackend* probe = this->PickProbe(in_service, now)) {
       return probe;
     }
   }
-  return this->PickCheapest(this->SelectTrusted(usable, now), request, now);
+  return this->PickCheapest(
+      this->SelectWithinRateLimits(this->SelectTrusted(in_service, now), now),
+      request, now);
 }
 
 FleetBackend* FleetPool::PickProbe(const Candidates& usable, TimePoint now) {
@@ -149,6 +187,7 @@
   for (FleetBackend* backend : usable) {
     if (backend->shared.IsSuspect(now) && backend->next_probe <= now &&
         backend->InFlight() == 0 && !this->IsFull(*backend, now) &&
+        this->IsWithinRateLimit(*backend, now) &&
         (due == nullptr || backend->next_probe < due->next_probe)) {
       due = backend;
     }
@@ -286,10 +325,15 @@
                      });
 }
 
-void FleetPool::OnStart(PooledBackend& backend,
+void FleetPool::OnStart(PooledBackend& pooled,
                         const Work& work,
-                        TimePoint /*now*/) {
+                        TimePoint now) {
+  auto& backend = static_cast<FleetBackend&>(pooled);
   ++backend.in_flight[static_cast<std::size_t>(work.work_class)];
+  if (backend.rate_limit.IsActive(now)) {
+    ++backend.started;
+    backend.rate_limit.OnOwnAttempt(this->random.Fraction(), now);
+  }
 }
 
 void FleetPool::OnRelease(PooledBackend& backend,
@@ -396,6 +440,37 @@
   backend.has_unsent_load = true;
 }
 
+void FleetPool::OnRateLimit(PooledBackend& pooled,
+                            std::optional<double> requests_per_second,
+                            AttemptResult result,
+                            TimePoint started,
+                            TimePoint now) {
+  auto& backend = static_cast<FleetBackend&>(pooled);
+  const double before = backend.rate_limit.Rate(now);
+  if (requests_per_second) {
+    backend.rate_limit.OnNamed(*requests_per_second, now);
+    backend.unsent_rate_limit = *requests_per_second;
+    backend.has_unsent_rate_limit_end = false;
+  } else if (result == AttemptResult::kSuccess && before > 0) {
+    backend.rate_limit.OnNotNamed(started);
+    if (!backend.rate_limit.IsActive(now)) {
+      backend.unsent_rate_limit = -1;
+      backend.has_unsent_rate_limit_end = true;
+    }
+  }
+  const double after = backend.rate_limit.Rate(now);
+  if ((before > 0) != (after > 0)) {
+    this->LogRateLimit(backend, after);
+  }
+}
+
+void FleetPool::LogRateLimit(const FleetBackend& backend, double rate) const {
+  LogEvent(rate > 0 ? "rate_limit_named" : "rate_limit_ended")
+      .With("service", this->service)
+      .With("backend_server", backend.server.id)
+      .With("requests_per_second", rate);
+}
+
 // An answer that waited in the backend server's queue is late at any backend
 // server, so it is no evidence against this one.
 bool FleetPool::HasReportedQueue(const FleetBackend& backend, TimePoint now) {
@@ -425,13 +500,19 @@
   ServiceLoad load;
   load.typical_latency = this->MedianLatency(work);
   double slots = 0;
+  std::optional<Duration> rate_limit_wait;
   for (const FleetBackend* backend : this->listed) {
     if (backend->IsInService() && !backend->shared.IsSuspect(now)) {
       load.requests_per_slot += EstimateLoad(*backend, now);
       slots += backend->server.slots;
     }
+    if (backend->IsInService()) {
+      const Duration wait = backend->rate_limit.Wait(now);
+      rate_limit_wait = std::min(rate_limit_wait.value_or(wait), wait);
+    }
   }
   load.requests_per_slot /= std::max(slots, 1.0);
+  load.rate_limit_wait = rate_limit_wait.value_or(Duration{});
   return load;
 }
 
@@ -466,6 +547,12 @@
       continue;
     }
     RecordPeerInFlight(*backend, from, each.in_flight, now);
+    backend->rate_limit.OnPeerAttempts(each.started, now);
+    if (each.rate_limit >= 0) {
+      backend->rate_limit.OnNamed(each.rate_limit, now);
+    } else if (each.rate_limit_ended) {
+      backend->rate_limit.OnEnded();
+    }
     if (each.slots > 0) {
       backend->reported = {each.running, each.waiting, each.slots};
       backend->reported_at = now;
@@ -493,7 +580,9 @@
         backend->InFlight() > 0 &&
         now - backend->in_flight_sent_at >= kInFlightResendInterval;
     if (outcomes == 0 && !backend->has_unsent_load && !in_flight_is_stale &&
-        backend->InFlight() == backend->sent_in_flight) {
+        backend->InFlight() == backend->sent_in_flight &&
+        backend->started == 0 && backend->unsent_rate_limit < 0 &&
+        !backend->has_unsent_rate_limit_end) {
       continue;
     }
     schema::BackendEvidenceT item;
@@ -509,6 +598,10 @@
       item.waiting = backend->reported.waiting;
       item.slots = backend->reported.slots;
     }
+    item.started = std::exchange(backend->started, 0);
+    item.rate_limit = std::exchange(backend->unsent_rate_limit, -1);
+    item.rate_limit_ended =
+        std::exchange(backend->has_unsent_rate_limit_end, false);
     item.in_flight = backend->InFlight();
     backend->sent_in_flight = item.in_flight;
     backend->in_flight_sent_at = now;
@@ -535,6 +628,10 @@
     text << ",suspicion:" << backend.shared.Suspicion(now)
          << ",seen_by:" << backend.suspected_by;
   }
+  if (backend.rate_limit.IsActive(now)) {
+    text << ",rate_limit:" << backend.rate_limit.Rate(now)
+         << ",allowance:" << backend.rate_limit.Level(now);
+  }
   return text.str();
 }
 
@@ -550,6 +647,10 @@
          << " in_flight=" << backend->InFlight()
          << " reported=" << backend->reported.running << ","
          << backend->reported.waiting << "," << backend->reported.slots;
+    if (backend->rate_limit.IsActive(now)) {
+      line << " rate_limit=" << backend->rate_limit.Rate(now)
+           << " allowance=" << backend->rate_limit.Level(now);
+    }
     lines.push_back(line.str());
   }
   return lines;
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -21,6 +21,7 @@
 #include "src/latency_window.h"
 #include "src/random_source.h"
 #include "src/shared_health.h"
+#include "src/shared_rate_limit.h"
 
 namespace acacia {
 
@@ -45,6 +46,13 @@
   // The in-flight count last sent to the other entries, and when it was sent.
   std::uint32_t sent_in_flight = 0;
   TimePoint in_flight_sent_at{};
+  SharedRateLimit rate_limit;
+  // The limit that it named to this entry and that has not been sent to the
+  // other entries yet; negative when there is none.
+  double unsent_rate_limit = -1;
+  bool has_unsent_rate_limit_end = false;
+  // Attempts started since the last TakeEvidence.
+  std::uint32_t started = 0;
   // The entry whose evidence made it a suspect.
   std::string suspected_by;
   // From this time on, while it is a suspect, an idempotent request may probe
@@ -79,6 +87,13 @@
   void OnReportedLoad(PooledBackend& backend,
                       const ReportedLoad& load,
                       TimePoint now) override;
+  void OnRateLimit(PooledBackend& backend,
+                   std::optional<double> requests_per_second,
+                   AttemptResult result,
+                   TimePoint started,
+                   TimePoint now) override;
+  bool AllAtRateLimit(const std::vector<BackendId>& excluded,
+                      TimePoint now) const override;
   void OnOverdue(PooledBackend& backend,
                  const OverdueAttempt& attempt,
                  TimePoint now) override;
@@ -103,12 +118,17 @@
  private:
   using Candidates = std::vector<FleetBackend*>;
 
-  Candidates SelectUsable(const PickRequest& request) const;
+  Candidates SelectInService(const std::vector<BackendId>& excluded) const;
+  // Whether this entry may send it a request under the limit that it named.
+  bool IsWithinRateLimit(const FleetBackend& backend, TimePoint now) const;
+  // Logs when a limit begins or ends by an answer to this entry.
+  void LogRateLimit(const FleetBackend& backend, double rate) const;
   FleetBackend* PickProbe(const Candidates& usable, TimePoint now);
   // True when the share of usable backend servers that are not suspects is
   // below the service's floor.
   bool IsBelowFloor(const Candidates& usable, TimePoint now) const;
   Candidates SelectTrusted(Candidates usable, TimePoint now) const;
+  Candidates SelectWithinRateLimits(Candidates trusted, TimePoint now) const;
   FleetBackend* PickCheapest(const Candidates& among,
                              const PickRequest& request,
                              TimePoint now);
@@ -137,6 +157,9 @@
   RandomSource& random;
   std::size_t floor_percent = 0;
   std::uint32_t cell_size = 1;
+  // Failure domains are divided into cells. Entries of other cells than a
+  // backend server's do not hear of all attempts there.
+  bool is_divided = false;
   std::unordered_map<BackendId, std::unique_ptr<FleetBackend>> backends;
   // The backend servers in the current view.
   Candidates listed;
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -194,6 +194,9 @@
   const Dialect& dialect = this->context.dialect;
   this->leaving = dialect.announces_leaving(head);
   this->load = dialect.parse_load(head[dialect.load]);
+  if (!dialect.rate_limit.empty()) {
+    this->rate_limit = dialect.parse_rate_limit(head[dialect.rate_limit]);
+  }
   this->connection->server_idle_timeout =
       ParseKeepAliveTimeout(std::string_view(head[http::field::keep_alive]));
 }
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -399,6 +399,9 @@
   if (this->head_arrived) {
     event.With("status", this->parser->get().result_int());
   }
+  if (this->rate_limit) {
+    event.With("rate_limit", *this->rate_limit);
+  }
   if (this->last_error) {
     event.With("error", this->last_error.message());
   }
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -147,6 +147,8 @@
   const std::optional<ReportedLoad>& LastReportedLoad() const {
     return this->load;
   }
+  // Requests per second; nullopt when the answer names no limit.
+  std::optional<double> NamedRateLimit() const { return this->rate_limit; }
   // Writing the answer to the caller has begun.
   bool HasRelayStarted() const { return this->relay_started; }
   bool IsRelayComplete() const { return this->relay_complete; }
@@ -224,6 +226,7 @@
   AttemptResult final_result = AttemptResult::kSuccess;
   bool leaving = false;
   std::optional<ReportedLoad> load;
+  std::optional<double> rate_limit;
   // The part of the answer's body that was read before relaying: all of it, or
   // the beginning of one that exceeds buffered_answer_bytes.
   std::optional<std::string> buffered_body;
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -369,7 +369,8 @@
                              result,
                              this->exchange->IsReplayable(),
                              attempt.IsLeaving(),
-                             attempt.LastReportedLoad()};
+                             attempt.LastReportedLoad(),
+                             attempt.NamedRateLimit()};
   this->service->HandleEvent(
       [&](Dispatcher& dispatcher, TimePoint now) {
         return dispatcher.OnAttemptEnd(report, now);
--- a/src/retry_after.cc
+++ b/src/retry_after.cc
@@ -25,8 +25,10 @@
   }
   // Requests that hold a slot now are half done on average.
   const double rounds = std::max(0.0, load.requests_per_slot - 1) + 0.5;
+  const auto queue_wait =
+      std::chrono::duration_cast<Duration>(load.typical_latency * rounds);
   const auto wait = std::chrono::duration_cast<Duration>(
-      load.typical_latency * rounds *
+      std::max(queue_wait, load.rate_limit_wait) *
       (kMinWaitFactor + kWaitFactorSpread * draw));
   return std::clamp(wait, kMinWait, kMaxWait);
 }
--- a/src/retry_after.h
+++ b/src/retry_after.h
@@ -17,6 +17,9 @@
   double requests_per_slot = 0;
   // Typical latency of a request; zero while unknown.
   Duration typical_latency{};
+  // Time until a backend server may get a request again when all are at the
+  // rate limits that they named; otherwise zero.
+  Duration rate_limit_wait{};
 };
 
 // Used while the load of the service is unknown.
--- a/test/correctness/host_decoders_test.cc
+++ b/test/correctness/host_decoders_test.cc
@@ -123,6 +123,17 @@
   }
 }
 
+TEST_CASE("named rate limits") {
+  const Dialect dialect = HostDialect();
+  CHECK(dialect.parse_rate_limit("7.8") == 7.8);
+  CHECK(dialect.parse_rate_limit("12") == 12.0);
+  CHECK(dialect.parse_rate_limit("0") == 0.0);
+  for (const char* text : {"", "-1", "1,5", "1e3", "nan", "inf", "4 a"}) {
+    INFO(text);
+    CHECK_FALSE(dialect.parse_rate_limit(text));
+  }
+}
+
 TEST_CASE("base64 both ways") {
   for (const std::string& text :
        std::vector<std::string>{"", "a", "ab", "abc", std::string("\0x", 2)}) {
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -267,6 +267,33 @@
   }
 }
 
+// Guards LIMIT: a backend server got every request, whatever limit it named.
+TEST_CASE("no more requests are passed on than a named rate limit allows") {
+  std::atomic<int> arrived{0};
+  HostFixture f([&](TextStream& stream, const std::string&) {
+    ++arrived;
+    std::string answer = SignedAnswer("abc", "body");
+    answer.insert(answer.find("\r\n") + 2, "Server-Limit: 1.0\r\n");
+    return stream.Send(answer);
+  });
+  constexpr int kRequests = 60;
+  constexpr int kBackendServers = 2;
+  const auto start = std::chrono::steady_clock::now();
+  int refused = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string answer = f.RoundTrip(i % 2 == 0 ? kGet : kPost);
+    if (StatusOf(answer) == 503) {
+      ++refused;
+      CHECK_FALSE(Field(answer, "Retry-After").empty());
+    }
+  }
+  const std::chrono::duration<double> elapsed =
+      std::chrono::steady_clock::now() - start;
+  const double window = std::max(4.0, elapsed.count());
+  CHECK(arrived <= kBackendServers * (1.5 * window + 5));
+  CHECK(arrived + refused == kRequests);
+}
+
 TEST_CASE("an older configuration does not replace a newer one") {
   HostFixture f([](TextStream& stream, const std::string&) {
     return stream.Send(SignedAnswer("abc", "body"));
