Order store versions by the store's era, so that a restored store is followed

What callers saw: 404 on a route that had been acknowledged more than 2 s before, and requests run by the older configuration. Cause: the store came back from a copy and gave out lower versions. Whole readings were discarded as stale until the count had passed the version held; then followers read on from a number that stood for another state. Failing before, on the code before: table_follower_test 'a store that was restored from a copy is followed at once' ("written again" == "copied", 0 == 1 changes) and 'a version that a restored store gave out again is not read on from' (changes not empty, 1 == 2 whole readings). Change: a row version is the era and the store's number, so all that compares versions takes a newer era as newer, and no number is read on from in another era. The same class elsewhere: reports of backend servers are ordered by their own sequence number, those known to be gone are not brought back by the copy, an entry writes its own row again, and a peer's newer era is no sign of an outage of this entry alone.

--- a/src/backend_registry.cc
+++ b/src/backend_registry.cc
@@ -1,8 +1,16 @@
 #include "src/backend_registry.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace acacia {
+namespace {
+
+// Longer than the age of a copy from which the store is restored.
+constexpr Duration kRemovedMemory = std::chrono::minutes(2);
+
+}  // namespace
 
 bool BackendRegistry::IsRecovering(TimePoint now) const {
   return !this->available ||
@@ -10,8 +18,31 @@
           now < *this->store_returned_at + kReregistrationTime);
 }
 
+bool BackendRegistry::MayBeGone(const std::string& name,
+                                const RegisteredBackend& backend,
+                                TimePoint now) const {
+  const auto found = this->removed.find(name);
+  return this->restored_at && now < *this->restored_at + kRestoredRowExpiry &&
+         found != this->removed.end() && found->second.id == backend.id &&
+         backend.sequence <= found->second.sequence;
+}
+
+BackendRegistry::Tracked::iterator BackendRegistry::Erase(
+    Tracked::iterator found,
+    TimePoint now) {
+  std::erase_if(this->removed, [now](const auto& item) {
+    return now - item.second.removed_at >= kRemovedMemory;
+  });
+  const RegisteredBackend& backend = found->second.backend;
+  this->removed[found->first] = {backend.id, backend.sequence, now};
+  return this->tracked.erase(found);
+}
+
 void BackendRegistry::Replace(const Registrations& registrations,
                               TimePoint now) {
+  std::erase_if(this->withheld, [&registrations](const auto& item) {
+    return !registrations.contains(item.first);
+  });
   std::vector<std::string> missing;
   for (const auto& [name, tracked] : this->tracked) {
     if (!registrations.contains(name)) {
@@ -29,10 +60,21 @@
 void BackendRegistry::Put(const std::string& name,
                           const std::optional<RegisteredBackend>& backend,
                           TimePoint now) {
+  this->withheld.erase(name);
   if (!backend) {
     this->tracked.erase(name);
     return;
   }
+  const auto known = this->tracked.find(name);
+  const bool is_known = known != this->tracked.end();
+  if (is_known && known->second.backend.id == backend->id &&
+      backend->sequence < known->second.backend.sequence) {
+    return;
+  }
+  if (!is_known && this->MayBeGone(name, *backend, now)) {
+    this->withheld.emplace(name, *backend);
+    return;
+  }
   TrackedBackend& tracked = this->tracked[name];
   const bool same = tracked.backend.id == backend->id;
   const bool cold = backend->cold_remaining > Duration{};
@@ -45,13 +87,14 @@
 }
 
 void BackendRegistry::Remove(const std::string& name, TimePoint now) {
+  this->withheld.erase(name);
   const auto found = this->tracked.find(name);
   if (found == this->tracked.end()) {
     return;
   }
   // A backend server that was leaving has stopped and will not return.
   if (!this->IsRecovering(now) || found->second.backend.leaving) {
-    this->tracked.erase(found);
+    this->Erase(found, now);
     return;
   }
   found->second.removal_at =
@@ -77,6 +120,11 @@
   this->available = available;
 }
 
+void BackendRegistry::OnStoreRestored(TimePoint now) {
+  this->store_returned_at = now;
+  this->restored_at = now;
+}
+
 // Ignored for the first kMinOutage: what another entry read just before the
 // store went away may still arrive shortly after.
 void BackendRegistry::OnPeerHasNewerRegistration(TimePoint now) {
@@ -86,17 +134,26 @@
 }
 
 bool BackendRegistry::OnTimer(TimePoint now) {
-  const std::size_t before = this->tracked.size();
-  std::erase_if(this->tracked, [now](const auto& item) {
-    return item.second.removal_at && *item.second.removal_at <= now;
-  });
+  bool changed = false;
+  for (auto each = this->tracked.begin(); each != this->tracked.end();) {
+    const auto removal_at = each->second.removal_at;
+    const bool is_due = removal_at && *removal_at <= now;
+    each = is_due ? this->Erase(each, now) : std::next(each);
+    changed = changed || is_due;
+  }
+  if (this->restored_at && now >= *this->restored_at + kRestoredRowExpiry) {
+    for (const auto& [name, backend] : std::exchange(this->withheld, {})) {
+      this->Put(name, backend, now);
+      changed = true;
+    }
+  }
   bool warmed = false;
   for (const auto& [name, tracked] : this->tracked) {
     warmed = warmed || (tracked.cold_until > this->last_timer &&
                         tracked.cold_until <= now);
   }
   this->last_timer = now;
-  return warmed || this->tracked.size() != before;
+  return warmed || changed;
 }
 
 std::optional<TimePoint> BackendRegistry::NextTimer() const {
@@ -112,6 +169,9 @@
       sooner(tracked.cold_until);
     }
   }
+  if (this->restored_at && !this->withheld.empty()) {
+    sooner(*this->restored_at + kRestoredRowExpiry);
+  }
   return next;
 }
 
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -7,6 +7,11 @@
 // this entry lost the store, no registration expired because of that, and
 // missing backend servers are removed at once.
 //
+// A store that was restored from a copy shows registrations as they were when
+// the copy was made. A report older than the one known is ignored, and a
+// backend server that is known to be gone returns only with a newer report, or
+// when its registration is still there after kRestoredRowExpiry.
+//
 // Not thread-safe. Driven by events and `now`; does no I/O.
 #ifndef SRC_BACKEND_REGISTRY_H_
 #define SRC_BACKEND_REGISTRY_H_
@@ -31,6 +36,8 @@
   // Includes the name under which the backend server expects requests.
   BackendServer server;
   bool leaving = false;
+  // Grows with each report of this incarnation.
+  std::uint64_t sequence = 0;
   // The rest of its cold start, counted from when the registration was read.
   Duration cold_remaining{};
   bool operator==(const RegisteredBackend&) const = default;
@@ -50,6 +57,10 @@
   // lost connection does not delay removals.
   static constexpr Duration kMinOutage = std::chrono::seconds(1);
 
+  // Registrations of backend servers that are gone expire within this time
+  // after the store was restored.
+  static constexpr Duration kRestoredRowExpiry = std::chrono::seconds(6);
+
   struct TrackedBackend {
     RegisteredBackend backend;
     TimePoint cold_until;
@@ -65,6 +76,9 @@
            TimePoint now);
   void Remove(const std::string& name, TimePoint now);
   void OnStoreAvailable(bool available, TimePoint now);
+  // The store was restored from a copy. Call before the restored registrations
+  // are passed on.
+  void OnStoreRestored(TimePoint now);
   // Called when another entry knows of a newer registration than this one,
   // which means that the store still serves others.
   void OnPeerHasNewerRegistration(TimePoint now);
@@ -79,9 +93,28 @@
   }
 
  private:
+  // The last report of a backend server that is gone.
+  struct LastReport {
+    BackendId id;
+    std::uint64_t sequence = 0;
+    TimePoint removed_at;
+  };
+  using Tracked = std::map<std::string, TrackedBackend>;
+
   bool IsRecovering(TimePoint now) const;
+  // Whether a registration of the restored store may be that of a backend
+  // server that is gone.
+  bool MayBeGone(const std::string& name,
+                 const RegisteredBackend& backend,
+                 TimePoint now) const;
+  Tracked::iterator Erase(Tracked::iterator found, TimePoint now);
 
-  std::map<std::string, TrackedBackend> tracked;
+  Tracked tracked;
+  // By name of the registration.
+  std::map<std::string, LastReport> removed;
+  // Registrations that are not used until kRestoredRowExpiry has passed.
+  std::map<std::string, RegisteredBackend> withheld;
+  std::optional<TimePoint> restored_at;
   bool available = true;
   TimePoint store_lost_at{};
   // The store served other entries during this outage.
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -37,6 +37,9 @@
 constexpr std::chrono::milliseconds kMemberBatchPause{150};
 // Pause before a failed write of this entry's row is retried.
 constexpr std::chrono::milliseconds kRowRetryPause{500};
+// While stopping, how often this entry checks whether the write of its row has
+// ended.
+constexpr std::chrono::milliseconds kRegistrationPoll{20};
 // Fleet size assumed for this entry's share of fleet-wide limits until the
 // members table has been read.
 constexpr std::uint32_t kAssumedFleetSize = 64;
@@ -68,6 +71,10 @@
   TableVersions GapFreeSince() const;
   void OnPeerVersions(const TableVersions& rows);
   void ApplyRole();
+  // Writes this entry's row again if a restored store lost it. `members` is the
+  // whole table.
+  void RestoreOwnRow(const TableRows& members);
+  void StartRegistration();
   net::awaitable<void> Register();
   net::awaitable<void> Unregister();
   void OnStop();
@@ -87,14 +94,18 @@
   MemberDirectory directory;
   schema::MemberUpdateT self;
   bool registry_read = false;
+  // The store's version when the registrations were last read whole.
+  RowVersion registrations_version;
   bool members_read = false;
   bool update_pending = false;
   bool stopping = false;
   std::uint64_t sequence = 0;
   Generation generation;
   std::unique_ptr<RowStore> own_rows;
-  // Version of this entry's row in the members table.
+  // Version of this entry's row in the members table; 0 while it is not known
+  // to be written.
   RowVersion own_row;
+  bool is_registering = false;
   std::array<std::unique_ptr<TableFollower>, std::tuple_size_v<TableVersions>>
       followers;
   EntryPeers peers;
@@ -207,12 +218,7 @@
   for (const auto& follower : this->followers) {
     follower->Start();
   }
-  net::co_spawn(
-      this->strand,
-      [](std::shared_ptr<State> state) -> net::awaitable<void> {
-        co_await state->Register();
-      }(this->shared_from_this()),
-      net::detached);
+  this->StartRegistration();
   net::co_spawn(
       this->strand,
       [](std::shared_ptr<State> state) -> net::awaitable<void> {
@@ -293,6 +299,11 @@
     for (const TableRow& row : rows.rows) {
       registrations[row.key] = this->ReadRegistration(row);
     }
+    if (this->registry_read &&
+        EraOf(this->registrations_version) < EraOf(rows.version)) {
+      this->registry.OnStoreRestored(now);
+    }
+    this->registrations_version = rows.version;
     this->registry.Replace(registrations, now);
     LogEvent("registrations_read")
         .With("count", rows.rows.size())
@@ -345,6 +356,9 @@
       }
     }
   }
+  if (whole) {
+    this->RestoreOwnRow(rows);
+  }
   this->members_read = true;
   this->UpdateFleetSoon();
 }
@@ -448,8 +462,11 @@
 
 void HostControl::State::OnPeerVersions(const TableVersions& rows) {
   const TableVersions before = this->NewestKnownRows();
-  if (rows[TableIndex(FollowedTable::Registrations)] >
-      this->Follower(FollowedTable::Registrations).Version()) {
+  const RowVersion newest = rows[TableIndex(FollowedTable::Registrations)];
+  const RowVersion held =
+      this->Follower(FollowedTable::Registrations).Version();
+  // A newer era shows that the store was away for others too.
+  if (newest > held && EraOf(newest) == EraOf(held)) {
     this->registry.OnPeerHasNewerRegistration(this->clock.Now());
   }
   for (std::size_t i = 0; i < rows.size(); ++i) {
@@ -479,6 +496,29 @@
   }
 }
 
+void HostControl::State::RestoreOwnRow(const TableRows& members) {
+  if (this->is_registering || this->stopping) {
+    return;
+  }
+  if (FindOwnRow(members, this->self, this->own_row) == OwnRow::kLost) {
+    LogEvent("registration_lost", LogSeverity::kWarning)
+        .With("row_version", this->own_row)
+        .With("version", members.version);
+    this->StartRegistration();
+  }
+}
+
+void HostControl::State::StartRegistration() {
+  this->is_registering = true;
+  net::co_spawn(
+      this->strand,
+      [](std::shared_ptr<State> state) -> net::awaitable<void> {
+        co_await state->Register();
+        state->is_registering = false;
+      }(this->shared_from_this()),
+      net::detached);
+}
+
 net::awaitable<void> HostControl::State::Register() {
   while (!this->stopping) {
     const auto written = co_await this->own_rows->Put(
@@ -497,6 +537,12 @@
 }
 
 net::awaitable<void> HostControl::State::Unregister() {
+  // own_rows serves one call at a time.
+  net::steady_timer pause(this->strand);
+  while (this->is_registering) {
+    pause.expires_after(kRegistrationPoll);
+    co_await pause.async_wait(kAwait);
+  }
   const auto removed = co_await this->own_rows->Remove(
       this->adapter.members_table, this->self.instance, this->own_row);
   if (!removed) {
--- a/src/host_metrics.cc
+++ b/src/host_metrics.cc
@@ -41,13 +41,15 @@
                       .Register(registry);
   auto& version = GaugeFamily(registry, "acacia_table_version",
                               "Version of the store that is held.");
+  auto& era = GaugeFamily(registry, "acacia_table_era",
+                          "Era of the store whose version is held.");
   auto& confirmed =
       GaugeFamily(registry, "acacia_table_confirmed_timestamp_seconds",
                   "When the store or another entry last told of the table.");
   for (const FollowedTable table : schema::EnumValuesFollowedTable()) {
     const prometheus::Labels labels{{"table", TableName(table)}};
     this->MetricsFor(table) = {&relayed.Add(labels), &version.Add(labels),
-                               &confirmed.Add(labels)};
+                               &era.Add(labels), &confirmed.Add(labels)};
   }
 }
 
@@ -71,7 +73,8 @@
 }
 
 void HostMetrics::SetVersion(FollowedTable table, RowVersion version) {
-  this->MetricsFor(table).version->Set(static_cast<double>(version.Value()));
+  this->MetricsFor(table).version->Set(static_cast<double>(NumberOf(version)));
+  this->MetricsFor(table).era->Set(EraOf(version).Value());
 }
 
 void HostMetrics::SetMembers(std::size_t count) {
--- a/src/host_metrics.h
+++ b/src/host_metrics.h
@@ -41,6 +41,7 @@
   struct TableMetrics {
     prometheus::Counter* relayed = nullptr;
     prometheus::Gauge* version = nullptr;
+    prometheus::Gauge* era = nullptr;
     prometheus::Gauge* confirmed = nullptr;
   };
 
--- a/src/ids.h
+++ b/src/ids.h
@@ -32,6 +32,38 @@
 using RowVersion = StrongNumber<struct RowVersionTag, std::uint64_t>;
 // Matches the completion of a control action to the action.
 using OperationId = StrongNumber<struct OperationTag, std::uint64_t>;
+// Counts how often a store was restored from a copy, after which it gives out
+// the same version numbers again. 0 for a store without eras.
+using StoreEra = StrongNumber<struct StoreEraTag, std::uint32_t>;
+
+// A row version consists of the store's era and its own number, so that every
+// version of a newer era is newer.
+inline constexpr int kRowVersionNumberBits = 40;
+inline constexpr std::uint64_t kMaxRowVersionNumber =
+    (std::uint64_t{1} << kRowVersionNumberBits) - 1;
+inline constexpr StoreEra kMaxStoreEra{(1U << (64 - kRowVersionNumberBits)) -
+                                       1};
+
+constexpr RowVersion MakeRowVersion(StoreEra era, std::uint64_t number) {
+  return RowVersion(
+      (static_cast<std::uint64_t>(era.Value()) << kRowVersionNumberBits) |
+      number);
+}
+constexpr StoreEra EraOf(RowVersion version) {
+  return StoreEra(
+      static_cast<std::uint32_t>(version.Value() >> kRowVersionNumberBits));
+}
+constexpr std::uint64_t NumberOf(RowVersion version) {
+  return version.Value() & kMaxRowVersionNumber;
+}
+
+// Writes "number", or "era:number" for a store with eras.
+inline std::ostream& operator<<(std::ostream& out, const RowVersion& version) {
+  if (EraOf(version) > StoreEra()) {
+    out << EraOf(version) << ":";
+  }
+  return out << NumberOf(version);
+}
 
 }  // namespace acacia
 
--- a/src/peer_messages.cc
+++ b/src/peer_messages.cc
@@ -1,5 +1,6 @@
 #include "src/peer_messages.h"
 
+#include <algorithm>
 #include <memory>
 
 #include "src/flat_table.h"
@@ -18,6 +19,23 @@
   return member;
 }
 
+OwnRow FindOwnRow(const TableRows& members,
+                  const schema::MemberUpdateT& self,
+                  RowVersion written) {
+  if (members.version <= written) {
+    return OwnRow::kPresent;
+  }
+  const auto found = std::find_if(
+      members.rows.begin(), members.rows.end(),
+      [&self](const TableRow& row) { return row.key == self.instance; });
+  if (found == members.rows.end()) {
+    return OwnRow::kLost;
+  }
+  const auto member = ParseMember(found->value);
+  return member && member->started >= self.started ? OwnRow::kPresent
+                                                   : OwnRow::kLost;
+}
+
 std::string SerializeShare(
     const ShareHeader& header,
     const std::vector<schema::BackendEvidenceT>& evidence) {
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -28,6 +28,15 @@
 // Returns nullopt when the bytes are malformed or name no instance.
 std::optional<schema::MemberUpdateT> ParseMember(const std::string& bytes);
 
+enum class OwnRow { kPresent, kLost };
+// Whether the members table still holds the row that `self` wrote in version
+// `written`. A store that was restored from a copy has lost later writes.
+// `members` is the whole table; one that may be older than the row, or holds
+// the row of a later process of this instance, counts as holding it.
+OwnRow FindOwnRow(const TableRows& members,
+                  const schema::MemberUpdateT& self,
+                  RowVersion written);
+
 // The part of a share that does not depend on its recipient.
 struct ShareHeader {
   std::string instance;
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -125,6 +125,12 @@
     co_await this->Pause(kBatchPause);
     co_return;
   }
+  if (this->version && EraOf(*this->version) < EraOf(rows->version)) {
+    LogEvent("store_restored", LogSeverity::kWarning)
+        .With("table", this->table)
+        .With("version", rows->version)
+        .With("held", *this->version);
+  }
   this->needs_whole = false;
   this->version = rows->version;
   this->last_change = rows->version;
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -1,9 +1,11 @@
 // Follows one table of the store: reads the whole table, then polls for
 // changes. Reported versions never decrease: an answer older than what was
 // reported before is discarded, and a full read after a gap in the history only
-// counts when it is at least as new. While another entry reads the changes for
-// this one, the follower applies what that entry relays, and polls the store
-// only when a change that other entries know of does not arrive.
+// counts when it is at least as new. What a store holds that was restored from
+// a copy is newer, whatever its age (see RowVersion). While another entry reads
+// the changes for this one, the follower applies what that entry relays, and
+// polls the store only when a change that other entries know of does not
+// arrive.
 #ifndef SRC_TABLE_FOLLOWER_H_
 #define SRC_TABLE_FOLLOWER_H_
 
--- a/test/correctness/backend_registry_test.cc
+++ b/test/correctness/backend_registry_test.cc
@@ -103,6 +103,70 @@
   CHECK_FALSE(f.Has("a"));
 }
 
+// A registration as a restored store shows it.
+RegisteredBackend Report(const std::string& name,
+                         std::uint64_t sequence,
+                         bool leaving = false) {
+  RegisteredBackend backend = RegistryFixture::Backend(name);
+  backend.sequence = sequence;
+  backend.leaving = leaving;
+  return backend;
+}
+
+TEST_CASE("a restored store does not undo that a backend server leaves") {
+  RegistryFixture f;
+  f.registry.Put("a", Report("a", 5), f.now);
+  f.registry.Put("a", Report("a", 6, true), f.now);
+  f.registry.OnStoreRestored(f.now);
+  f.registry.Replace({{"a", Report("a", 5)}}, f.now);
+  CHECK(f.registry.Backends().at("a").backend.leaving);
+}
+
+TEST_CASE("a restored store does not bring back what is gone") {
+  RegistryFixture f;
+  f.registry.Put("a", Report("a", 5), f.now);
+  f.registry.Remove("a", f.now);
+  f.now += seconds(4);
+  f.registry.OnStoreRestored(f.now);
+  f.registry.Replace({{"a", Report("a", 5)}}, f.now);
+  CHECK_FALSE(f.Has("a"));
+  f.now += seconds(5);
+  f.registry.Remove("a", f.now);
+  f.now += seconds(9);
+  CHECK_FALSE(f.Has("a"));
+}
+
+TEST_CASE("a backend server that reports again after a restore is used again") {
+  RegistryFixture f;
+  f.registry.Put("a", Report("a", 5), f.now);
+  f.registry.Remove("a", f.now);
+  f.registry.OnStoreRestored(f.now);
+  f.registry.Replace({{"a", Report("a", 5)}}, f.now);
+  f.registry.Put("a", Report("a", 6), f.now);
+  CHECK(f.Has("a"));
+}
+
+TEST_CASE("a registration that outlasts the restore is used") {
+  RegistryFixture f;
+  f.registry.Put("a", Report("a", 5), f.now);
+  f.registry.Remove("a", f.now);
+  f.registry.OnStoreRestored(f.now);
+  f.registry.Replace({{"a", Report("a", 5)}}, f.now);
+  CHECK(f.registry.NextTimer() == f.now + BackendRegistry::kRestoredRowExpiry);
+  f.now += BackendRegistry::kRestoredRowExpiry;
+  CHECK(f.Has("a"));
+}
+
+TEST_CASE("one that a restored store lost is kept for the return time") {
+  RegistryFixture f;
+  f.Outage(milliseconds(300));
+  f.registry.OnStoreRestored(f.now);
+  f.registry.Replace({}, f.now);
+  CHECK(f.Has("a"));
+  f.now += BackendRegistry::kReregistrationTime;
+  CHECK_FALSE(f.Has("a"));
+}
+
 TEST_CASE("an unreadable registration is dropped, others are kept") {
   RegistryFixture f;
   f.Put("b");
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <sstream>
 
 #include "platform/store_client.h"
 #include "src/base64.h"
@@ -50,10 +51,16 @@
     co_return reply;
   }
 
-  void Script(int status, const std::string& body) {
+  // `era`: how often the store was restored; not told if empty.
+  void Script(int status,
+              const std::string& body,
+              const std::string& era = "") {
     HttpReply reply;
     reply.status = status;
     reply.body = body;
+    if (!era.empty()) {
+      reply.headers["store-era"] = era;
+    }
     this->script.push_back(reply);
   }
   void ScriptDrop() {
@@ -136,6 +143,80 @@
   CHECK(f.wholes[1].rows[0].key == "new");
 }
 
+// Guards CONFIG: after a restore, tables whose versions went back were taken
+// for stale and no change was followed.
+TEST_CASE("a store that was restored from a copy is followed at once") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(75, RowJson("a", 72)), "1");
+  f.Script(410, RowsJson(74, ""), "2");
+  f.Script(200, RowsJson(74, RowJson("copied", 70)), "2");
+  f.Script(200, RowsJson(76, RowJson("written again", 76)), "2");
+  f.Follow();
+  f.AwaitCalls(5);
+  REQUIRE(f.wholes.size() == 2);
+  CHECK(f.wholes[1].rows[0].key == "copied");
+  REQUIRE(f.changes.size() == 1);
+  CHECK(f.changes[0].rows[0].key == "written again");
+  CHECK(f.calls[3].target.find("after=74&") != std::string::npos);
+  CHECK(f.follower->Version() > MakeRowVersion(StoreEra(1), 75));
+}
+
+// Guards CONFIG: rows between a version of the old history and the same number
+// in the new one were never read.
+TEST_CASE(
+    "a version that a restored store gave out again is not read on from") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(75, RowJson("a", 72)), "1");
+  f.Script(200, RowsJson(77, RowJson("late", 77)), "2");
+  f.Script(200, RowsJson(77, RowJson("early", 73) + "," + RowJson("late", 77)),
+           "2");
+  f.Follow();
+  f.AwaitCalls(4);
+  CHECK(f.changes.empty());
+  REQUIRE(f.wholes.size() == 2);
+  CHECK(f.wholes[1].rows.size() == 2);
+}
+
+TEST_CASE("a listener hears from others that the store was restored") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(75, RowJson("a", 72)), "1");
+  f.Follow();
+  f.AwaitCalls(1);
+  f.follower->SetReadByOthers(true);
+  f.Settle();
+  CHECK(f.calls.size() == 1);
+  TableRows old_history;
+  old_history.version = MakeRowVersion(StoreEra(1), 80);
+  f.Script(410, RowsJson(71, ""), "2");
+  f.Script(200, RowsJson(71, RowJson("a", 70)), "2");
+  f.follower->ExpectVersion(MakeRowVersion(StoreEra(2), 70));
+  f.Settle();
+  REQUIRE(f.wholes.size() == 2);
+  CHECK(f.follower->Version() == MakeRowVersion(StoreEra(2), 71));
+  f.follower->ApplyRelayed(MakeRowVersion(StoreEra(1), 75), old_history);
+  CHECK(f.follower->Version() == MakeRowVersion(StoreEra(2), 71));
+}
+
+TEST_CASE("an answer with an unreadable era is not taken") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(75, RowJson("a", 72)), "many");
+  f.Script(200, RowsJson(75, RowJson("a", 72)), "3");
+  f.Follow();
+  f.AwaitCalls(2);
+  f.Settle();
+  REQUIRE(f.wholes.size() == 1);
+  CHECK(f.wholes[0].version == MakeRowVersion(StoreEra(3), 75));
+}
+
+TEST_CASE("versions are ordered by era first, and shown with it") {
+  const RowVersion old_version = MakeRowVersion(StoreEra(1), 90);
+  const RowVersion new_version = MakeRowVersion(StoreEra(2), 7);
+  CHECK(old_version < new_version);
+  std::ostringstream text;
+  text << RowVersion(12) << " " << new_version;
+  CHECK(text.str() == "12 2:7");
+}
+
 TEST_CASE("a store that refuses, or whose answer is lost, is asked again") {
   FollowerFixture f;
   f.Script(503, "");
