Do not take an earlier incarnation from a restored store

Cause: a backend server may start again under its name; the copy from which the store came back may show the incarnation before. Found by reading the change that orders reports by their sequence number, which starts anew with each incarnation; not seen on the bench. Change: reports are ordered by the start of the incarnation, then by their sequence number.

--- a/src/backend_registry.cc
+++ b/src/backend_registry.cc
@@ -23,8 +23,8 @@
                                 TimePoint now) const {
   const auto found = this->removed.find(name);
   return this->restored_at && now < *this->restored_at + kRestoredRowExpiry &&
-         found != this->removed.end() && found->second.id == backend.id &&
-         backend.sequence <= found->second.sequence;
+         found != this->removed.end() &&
+         !(found->second.report < backend.report);
 }
 
 BackendRegistry::Tracked::iterator BackendRegistry::Erase(
@@ -33,8 +33,7 @@
   std::erase_if(this->removed, [now](const auto& item) {
     return now - item.second.removed_at >= kRemovedMemory;
   });
-  const RegisteredBackend& backend = found->second.backend;
-  this->removed[found->first] = {backend.id, backend.sequence, now};
+  this->removed[found->first] = {found->second.backend.report, now};
   return this->tracked.erase(found);
 }
 
@@ -67,8 +66,7 @@
   }
   const auto known = this->tracked.find(name);
   const bool is_known = known != this->tracked.end();
-  if (is_known && known->second.backend.id == backend->id &&
-      backend->sequence < known->second.backend.sequence) {
+  if (is_known && backend->report < known->second.backend.report) {
     return;
   }
   if (!is_known && this->MayBeGone(name, *backend, now)) {
--- a/src/backend_registry.h
+++ b/src/backend_registry.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "src/clock.h"
@@ -29,6 +30,20 @@
 
 namespace acacia {
 
+// Orders the reports of a backend server about itself.
+struct ReportOrder {
+  // When the incarnation started, in milliseconds of Unix time; 0 if unknown.
+  std::uint64_t started_ms = 0;
+  // Grows with each report of the incarnation.
+  std::uint64_t sequence = 0;
+
+  bool operator==(const ReportOrder&) const = default;
+  bool operator<(const ReportOrder& other) const {
+    return std::tie(this->started_ms, this->sequence) <
+           std::tie(other.started_ms, other.sequence);
+  }
+};
+
 struct RegisteredBackend {
   // Differs between incarnations of the same name.
   BackendId id;
@@ -36,8 +51,7 @@
   // Includes the name under which the backend server expects requests.
   BackendServer server;
   bool leaving = false;
-  // Grows with each report of this incarnation.
-  std::uint64_t sequence = 0;
+  ReportOrder report;
   // The rest of its cold start, counted from when the registration was read.
   Duration cold_remaining{};
   bool operator==(const RegisteredBackend&) const = default;
@@ -95,8 +109,7 @@
  private:
   // The last report of a backend server that is gone.
   struct LastReport {
-    BackendId id;
-    std::uint64_t sequence = 0;
+    ReportOrder report;
     TimePoint removed_at;
   };
   using Tracked = std::map<std::string, TrackedBackend>;
--- a/test/correctness/backend_registry_test.cc
+++ b/test/correctness/backend_registry_test.cc
@@ -106,9 +106,11 @@
 // A registration as a restored store shows it.
 RegisteredBackend Report(const std::string& name,
                          std::uint64_t sequence,
-                         bool leaving = false) {
-  RegisteredBackend backend = RegistryFixture::Backend(name);
-  backend.sequence = sequence;
+                         bool leaving = false,
+                         std::uint64_t started_ms = 1) {
+  RegisteredBackend backend =
+      RegistryFixture::Backend(name, std::to_string(started_ms));
+  backend.report = {started_ms, sequence};
   backend.leaving = leaving;
   return backend;
 }
@@ -136,6 +138,15 @@
   CHECK_FALSE(f.Has("a"));
 }
 
+TEST_CASE("a restored store does not bring back an earlier incarnation") {
+  RegistryFixture f;
+  f.registry.Put("a", Report("a", 9), f.now);
+  f.registry.Put("a", Report("a", 1, false, 2), f.now);
+  f.registry.OnStoreRestored(f.now);
+  f.registry.Replace({{"a", Report("a", 9)}}, f.now);
+  CHECK(f.registry.Backends().at("a").backend.id == BackendId("a@2"));
+}
+
 TEST_CASE("a backend server that reports again after a restore is used again") {
   RegistryFixture f;
   f.registry.Put("a", Report("a", 5), f.now);
