Test that reports under a rate limit reach all failure domains

Cause: the sum over the fleet rests on these messages, and only the pool that reads them had a test. Result: passes; without the condition in SendEvidenceBeyondCell nothing would arrive, as none of these items concerns a suspect.

--- a/test/correctness/entry_peers_test.cc
+++ b/test/correctness/entry_peers_test.cc
@@ -43,7 +43,10 @@
                  this->after = after;
                  this->relayed.push_back(changes);
                },
-               [](const std::string&, const auto&) {}}) {
+               [this](const std::string&, const auto& items) {
+                 this->evidence.insert(this->evidence.end(), items.begin(),
+                                       items.end());
+               }}) {
     REQUIRE(this->peers.Listen(self.peer_address));
   }
 
@@ -52,6 +55,7 @@
   std::optional<FollowedTable> table;
   RowVersion after;
   std::vector<TableRows> relayed;
+  std::vector<schema::BackendEvidenceT> evidence;
   EntryPeers peers;
 };
 
@@ -133,6 +137,31 @@
   CHECK(f.entries[2]->relayed.front().rows[0].value.size() == 4000);
 }
 
+TEST_CASE("what concerns a rate limit is sent to all failure domains") {
+  PeersFixture f;
+  schema::MemberUpdateT other = Member("b0");
+  other.failure_domain = "b";
+  Entry distant(f.context, other, f.clock);
+  f.entries[0]->directory.Put(other);
+  schema::BackendEvidenceT unrelated;
+  unrelated.id = "i-1";
+  schema::BackendEvidenceT started;
+  started.id = "i-2";
+  started.started = 2;
+  schema::BackendEvidenceT named;
+  named.id = "i-3";
+  named.rate_limit = 0.5;
+  schema::BackendEvidenceT ended;
+  ended.id = "i-4";
+  ended.rate_limit_ended = true;
+  f.entries[0]->peers.Share({unrelated, started, named, ended}, kSince, kSince);
+  RunUntil(f.context, [&] { return !distant.evidence.empty(); });
+  REQUIRE(distant.evidence.size() == 3);
+  CHECK(distant.evidence[0].started == 2);
+  CHECK(distant.evidence[1].rate_limit == 0.5);
+  CHECK(distant.evidence[2].rate_limit_ended);
+}
+
 // An evidence message between two heartbeats must carry the reader's silent
 // entries too: without them it cleared the receiver's last report, and entries
 // of other cells named a dead entry to callers again.
