Quarantine requests that crash the backend servers that run them

Cause: a broken attempt counted against the backend server only. Nothing related it to what had been sent, so the request was new to each entry, each time. Failing before, on the code before: host_proxy_test 'a request that crashes backend servers is kept from further ones': 12 == 3 backend servers crashed by 6 GETs, 6 == 3 by 6 POSTs, 502 == 503. Change: requests have a fingerprint (method, host, target, body). A broken attempt counts as a crash unless the backend server answers soon after; three crashes, one after the other, quarantine the fingerprint; an answer clears it. Entries report crashes to each other and repeat quarantines in their heartbeats. Why it works: the request itself is judged, by the whole fleet, and by crashes that follow one another, so that a rack that fails under a popular request does not count.

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -10,6 +10,7 @@
 #include "src/backend_chooser.h"
 #include "src/backend_pool.h"
 #include "src/check.h"
+#include "src/request_quarantine.h"
 #include "src/request_state.h"
 #include "src/retry_after.h"
 #include "src/retry_budget.h"
@@ -34,8 +35,10 @@
   State(const ServiceName& service,
         const InstanceId& self,
         std::unique_ptr<RandomSource> source,
-        const ChooserFactory& make_chooser)
-      : random(std::move(source)),
+        const ChooserFactory& make_chooser,
+        RequestQuarantine* quarantine)
+      : quarantine(quarantine),
+        random(std::move(source)),
         chooser(
             make_chooser
                 ? make_chooser(service, self, *this->random)
@@ -63,6 +66,13 @@
   bool CanRetry(const RequestState& request, TimePoint now);
   void Retry(RequestState& request, TimePoint now);
   void Refuse(RequestId request, ErrorKind not_run_kind, TimePoint now);
+  // How long requests like this one are refused because they crash backend
+  // servers; nullopt if they are not.
+  std::optional<Duration> QuarantineLeft(const Work& work, TimePoint now) const;
+  void ReportToQuarantine(const RequestState& request,
+                          const RunningAttempt& attempt,
+                          AttemptResult result,
+                          TimePoint now);
   void Finish(RequestId request);
   void RecordOutcome(const RequestState& request,
                      const RunningAttempt& attempt,
@@ -75,6 +85,8 @@
   void UpdateNextTimer(TimePoint now);
   DispatchActions TakeActions(TimePoint now);
 
+  // Null if no requests are quarantined.
+  RequestQuarantine* quarantine;
   std::unique_ptr<RandomSource> random;
   std::unique_ptr<BackendChooser> chooser;
   AdmissionQueue queue;
@@ -171,6 +183,10 @@
              this->queue.Front(work_class, now)) {
     RequestState* request = this->Find(*next);
     ACACIA_CHECK(request != nullptr);
+    if (this->QuarantineLeft(request->work, now)) {
+      this->Refuse(*next, ErrorKind::kQuarantined, now);
+      continue;
+    }
     if (!this->TryStart(*request, now)) {
       return;
     }
@@ -237,7 +253,8 @@
       request.last_attempt.Value() >= kMaxAttempts ||
       !this->HasAttemptsLeft(request) ||
       !this->chooser->HasAlternative(request.failed) ||
-      this->chooser->AllAtRateLimit(request.failed, now)) {
+      this->chooser->AllAtRateLimit(request.failed, now) ||
+      this->QuarantineLeft(request.work, now)) {
     return false;
   }
   if (this->windowed_budget && result == AttemptResult::kNotSent) {
@@ -298,14 +315,40 @@
   RequestState* found = this->Find(request);
   ACACIA_CHECK(found != nullptr);
   const ErrorKind kind = found->unknown_outcome.value_or(not_run_kind);
-  std::optional<Duration> retry_after;
-  if (const auto load = this->chooser->Load(found->work, now)) {
+  std::optional<Duration> retry_after = this->QuarantineLeft(found->work, now);
+  const auto load = this->chooser->Load(found->work, now);
+  if (!retry_after && load) {
     retry_after = RetryAfter(*load, this->random->Fraction());
   }
   this->actions.push_back(RefuseRequest{request, kind, retry_after});
   this->Finish(request);
 }
 
+std::optional<Duration> Dispatcher::State::QuarantineLeft(const Work& work,
+                                                          TimePoint now) const {
+  return this->quarantine == nullptr
+             ? std::nullopt
+             : this->quarantine->Remaining(work.fingerprint, now);
+}
+
+void Dispatcher::State::ReportToQuarantine(const RequestState& request,
+                                           const RunningAttempt& attempt,
+                                           AttemptResult result,
+                                           TimePoint now) {
+  if (this->quarantine == nullptr) {
+    return;
+  }
+  const RequestFingerprint fingerprint = request.work.fingerprint;
+  const BackendId& backend = attempt.backend->server.id;
+  if (result == AttemptResult::kBroken || result == AttemptResult::kTruncated) {
+    this->quarantine->OnBroken(fingerprint, backend, attempt.started, now);
+  } else if (result == AttemptResult::kSuccess ||
+             result == AttemptResult::kServerError) {
+    this->quarantine->OnBackendAlive(backend, attempt.started, now);
+    this->quarantine->OnAnswered(fingerprint, now);
+  }
+}
+
 void Dispatcher::State::Finish(RequestId request) {
   const auto found = this->requests.find(request);
   if (found->second.account_limited) {
@@ -369,7 +412,8 @@
       work.work_class != WorkClass::kShort || request.running.size() != 1 ||
       request.last_attempt.Value() >= kMaxAttempts ||
       !this->HasAttemptsLeft(request) || !this->queue.IsEmpty() ||
-      now + expected_latency >= work.deadline) {
+      now + expected_latency >= work.deadline ||
+      this->QuarantineLeft(work, now)) {
     return;
   }
   std::vector<BackendId> excluded = request.failed;
@@ -411,11 +455,13 @@
                        std::unique_ptr<RandomSource> random,
                        const ServiceView& view,
                        TimePoint now,
-                       const ChooserFactory& make_chooser)
+                       const ChooserFactory& make_chooser,
+                       RequestQuarantine* quarantine)
     : state(std::make_unique<State>(service,
                                     self,
                                     std::move(random),
-                                    make_chooser)) {
+                                    make_chooser,
+                                    quarantine)) {
   this->OnView(view, now);
 }
 
@@ -451,6 +497,8 @@
   }
   if (work.deadline <= now) {
     state.Refuse(work.request, ErrorKind::kDeadlineTooShort, now);
+  } else if (state.QuarantineLeft(work, now)) {
+    state.Refuse(work.request, ErrorKind::kQuarantined, now);
   } else if (!state.chooser->HasAlternative({})) {
     state.Refuse(work.request, ErrorKind::kNoBackend, now);
   } else if (state.queue.Size(work.work_class) > 0 ||
@@ -482,6 +530,7 @@
     const bool has_other_attempts = request->running.size() > 1;
     if (has_other_attempts ||
         state.MayRetry(*request, result, replayable, now)) {
+      state.ReportToQuarantine(*request, *attempt, result, now);
       state.actions.push_back(CancelAttempt{request_id, attempt_id});
       state.EndAttempt(*request, attempt_id);
       ++request->sent_attempts;
@@ -523,6 +572,7 @@
   }
   state.chooser->OnRateLimit(*attempt->backend, report.rate_limit,
                              report.result, attempt->started, now);
+  state.ReportToQuarantine(*request, *attempt, report.result, now);
   if (request->relayed) {
     if (report.result != AttemptResult::kSuccess &&
         report.result != AttemptResult::kServerError) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -48,6 +48,7 @@
   // An answer has its full value up to this latency; zero if not stated.
   Duration target_latency{};
   std::uint64_t body_bytes = 0;
+  RequestFingerprint fingerprint{};
 };
 
 // How an attempt ended. "Unknown" below means that the backend server may or
@@ -154,6 +155,7 @@
 };
 
 class BackendChooser;
+class RequestQuarantine;
 
 // Creates the policy that chooses backend servers. The random source outlives
 // the returned chooser.
@@ -164,13 +166,15 @@
 
 class Dispatcher {
  public:
-  // Uses a BackendPool if no factory is given.
+  // Uses a BackendPool if no factory is given. The quarantine, if given, is
+  // that of all services and outlives the dispatcher.
   Dispatcher(const ServiceName& service,
              const InstanceId& self,
              std::unique_ptr<RandomSource> random,
              const ServiceView& view,
              TimePoint now,
-             const ChooserFactory& make_chooser = {});
+             const ChooserFactory& make_chooser = {},
+             RequestQuarantine* quarantine = nullptr);
   ~Dispatcher();
   Dispatcher(const Dispatcher&) = delete;
   Dispatcher& operator=(const Dispatcher&) = delete;
--- a/src/entry_metrics.cc
+++ b/src/entry_metrics.cc
@@ -53,6 +53,9 @@
   this->agent_connected = AddGauge(target, "acacia_agent_connected",
                                    "1 while the agent's stream is up.");
   this->stopping = AddGauge(target, "acacia_stopping", "1 while stopping.");
+  this->quarantined_requests =
+      AddGauge(target, "acacia_quarantined_requests",
+               "Requests refused because they crash backend servers.");
   this->refused_connections =
       &prometheus::BuildCounter()
            .Name("acacia_refused_connections_total")
--- a/src/entry_metrics.h
+++ b/src/entry_metrics.h
@@ -57,6 +57,7 @@
   prometheus::Gauge* generation = nullptr;
   prometheus::Gauge* agent_connected = nullptr;
   prometheus::Gauge* stopping = nullptr;
+  prometheus::Gauge* quarantined_requests = nullptr;
   prometheus::Counter* refused_connections = nullptr;
 
  private:
--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -2,10 +2,12 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
 #include <utility>
 
 #include "src/agent_actions.h"
 #include "src/log_event.h"
+#include "src/rendezvous.h"
 
 namespace acacia {
 namespace {
@@ -17,11 +19,34 @@
 // copy per listener. Listeners read them from the store, which has more
 // bandwidth.
 constexpr std::size_t kMaxRelayedBytes = 16 * 1024;
-// In fleets of at most this size, evidence about suspects goes to all entries.
+// In fleets of at most this size, evidence about suspects and reports about
+// requests go to all entries.
 constexpr std::size_t kSmallFleetEntries = 128;
 // A failure domain has up to a hundred entries.
 constexpr std::size_t kMaxConnections = 128;
 
+// Whether two selections of the same reports are equal.
+bool HaveSameSubjects(const OutcomeReports& a, const OutcomeReports& b) {
+  return std::equal(
+             a.backends.begin(), a.backends.end(), b.backends.begin(),
+             b.backends.end(),
+             [](const auto& x, const auto& y) { return x.id == y.id; }) &&
+         std::equal(a.requests.begin(), a.requests.end(), b.requests.begin(),
+                    b.requests.end(), [](const auto& x, const auto& y) {
+                      return x.fingerprint == y.fingerprint &&
+                             x.event == y.event && x.backend == y.backend;
+                    });
+}
+
+template <typename T>
+std::vector<T> CopyItems(const std::vector<std::unique_ptr<T>>& items) {
+  std::vector<T> copies;
+  for (const auto& each : items) {
+    copies.push_back(*each);
+  }
+  return copies;
+}
+
 PeerTransportOptions TransportOptions() {
   PeerTransportOptions options;
   options.max_outgoing_connections = kMaxConnections;
@@ -69,13 +94,15 @@
 // failure domain. Readers also send the newest versions they know to readers of
 // other failure domains, so that one whose call to the store is never answered
 // finds out.
-void EntryPeers::Share(const std::vector<schema::BackendEvidenceT>& evidence,
-                       const TableVersions& known,
-                       const TableVersions& since) {
+void EntryPeers::Share(
+    const OutcomeReports& reports,
+    const TableVersions& known,
+    const TableVersions& since,
+    const std::vector<schema::QuarantinedRequestT>& quarantined) {
   const TimePoint now = this->clock.Now();
   const bool is_heartbeat =
       this->share_soon || now - this->heartbeat_at >= kHeartbeatInterval;
-  if (!is_heartbeat && evidence.empty()) {
+  if (!is_heartbeat && reports.IsEmpty()) {
     return;
   }
   this->share_soon = false;
@@ -83,6 +110,7 @@
   header.serving = this->serving;
   if (is_heartbeat) {
     this->heartbeat_at = now;
+    header.quarantined = quarantined;
   }
   // Included in every message of a reader, not only in heartbeats, because each
   // one replaces the receivers' previous report.
@@ -91,14 +119,15 @@
   }
   const std::vector<InstanceId>& cell_peers =
       this->cells.EntriesInCellOf(this->directory.Self());
-  const std::string bytes = SerializeShare(header, evidence);
+  const std::string bytes = SerializeShare(header, reports);
   for (const InstanceId& each : cell_peers) {
     this->Send(each, bytes);
   }
   if (is_heartbeat) {
     this->SendLiveness(header, cell_peers);
   }
-  this->SendEvidenceBeyondCell(header, evidence);
+  header.quarantined.clear();
+  this->SendReportsBeyondCell(header, reports);
 }
 
 // Sends the heartbeat, with the newest versions known, to entries outside this
@@ -126,47 +155,76 @@
   }
 }
 
-// Sends evidence about suspects to the entries of their cells, or to all
-// entries of a small fleet. What concerns a rate limit goes to all entries that
-// count towards it: those of the backend server's cell, or all entries while
-// the failure domains are not divided into cells.
-void EntryPeers::SendEvidenceBeyondCell(
-    const ShareHeader& header,
-    const std::vector<schema::BackendEvidenceT>& evidence) {
-  std::map<InstanceId, std::vector<schema::BackendEvidenceT>>
-      evidence_by_recipient;
-  const bool is_small = this->directory.Members().size() <= kSmallFleetEntries;
-  for (const schema::BackendEvidenceT& each : evidence) {
-    const BackendId backend(each.id);
-    const bool is_about_rate_limit =
-        each.started > 0 || each.rate_limit >= 0 || each.rate_limit_ended;
-    if (!each.avoided && !is_about_rate_limit) {
-      continue;
+bool EntryPeers::IsSmallFleet() const {
+  return this->directory.Members().size() <= kSmallFleetEntries;
+}
+
+std::vector<InstanceId> EntryPeers::AllMembers() const {
+  std::vector<InstanceId> all;
+  for (const auto& [instance, member] : this->directory.Members()) {
+    all.push_back(instance);
+  }
+  return all;
+}
+
+// Evidence about suspects goes to the entries of their cells, or to all entries
+// of a small fleet. What concerns a rate limit goes to all entries that count
+// towards it: those of the backend server's cell, or all entries while the
+// failure domains are not divided into cells.
+std::vector<InstanceId> EntryPeers::RecipientsOf(
+    const schema::BackendEvidenceT& evidence) const {
+  const bool is_about_rate_limit = evidence.started > 0 ||
+                                   evidence.rate_limit >= 0 ||
+                                   evidence.rate_limit_ended;
+  if (!evidence.avoided && !is_about_rate_limit) {
+    return {};
+  }
+  if (this->IsSmallFleet() ||
+      (is_about_rate_limit && this->cells.IsUndivided())) {
+    return this->AllMembers();
+  }
+  return this->cells.EntriesInCellOfBackend(BackendId(evidence.id));
+}
+
+// In a large fleet one cell, the same for all senders, collects the reports
+// about a request. A quarantine that it begins spreads with the heartbeats.
+std::vector<InstanceId> EntryPeers::RecipientsOf(
+    const schema::RequestReportT& report) const {
+  if (this->IsSmallFleet()) {
+    return this->AllMembers();
+  }
+  std::vector<RendezvousNode> nodes;
+  for (const auto& [instance, member] : this->directory.Members()) {
+    nodes.push_back({instance.Value()});
+  }
+  const std::string key = std::to_string(report.fingerprint);
+  const std::size_t first = RankByRendezvous(key, nodes, 1).front();
+  return this->cells.EntriesInCellOf(InstanceId(std::string(nodes[first].id)));
+}
+
+void EntryPeers::SendReportsBeyondCell(const ShareHeader& header,
+                                       const OutcomeReports& reports) {
+  std::map<InstanceId, OutcomeReports> by_recipient;
+  for (const schema::BackendEvidenceT& each : reports.backends) {
+    for (const InstanceId& instance : this->RecipientsOf(each)) {
+      by_recipient[instance].backends.push_back(each);
     }
-    if (is_small || (is_about_rate_limit && this->cells.IsUndivided())) {
-      for (const auto& [instance, member] : this->directory.Members()) {
-        evidence_by_recipient[instance].push_back(each);
-      }
-    } else {
-      for (const InstanceId& instance :
-           this->cells.EntriesInCellOfBackend(backend)) {
-        evidence_by_recipient[instance].push_back(each);
-      }
+  }
+  for (const schema::RequestReportT& each : reports.requests) {
+    for (const InstanceId& instance : this->RecipientsOf(each)) {
+      by_recipient[instance].requests.push_back(each);
     }
   }
   for (const InstanceId& cell_peer :
        this->cells.EntriesInCellOf(this->directory.Self())) {
-    evidence_by_recipient.erase(cell_peer);
+    by_recipient.erase(cell_peer);
   }
-  // Many recipients get the same evidence: the message is serialized again only
+  // Many recipients get the same reports: the message is serialized again only
   // when it differs from the previous one.
-  const std::vector<schema::BackendEvidenceT>* last = nullptr;
+  const OutcomeReports* last = nullptr;
   std::string bytes;
-  for (const auto& [instance, items] : evidence_by_recipient) {
-    if (last == nullptr || items.size() != last->size() ||
-        !std::equal(
-            items.begin(), items.end(), last->begin(),
-            [](const auto& a, const auto& b) { return a.id == b.id; })) {
+  for (const auto& [instance, items] : by_recipient) {
+    if (last == nullptr || !HaveSameSubjects(items, *last)) {
       bytes = SerializeShare(header, items);
     }
     last = &items;
@@ -231,14 +289,15 @@
     this->directory.OnReportedSilent(share.silent, now);
   }
   this->events.on_known_versions(KnownVersions(share));
-  if (share.outcomes.empty()) {
-    return;
+  if (!share.outcomes.empty()) {
+    this->events.on_evidence(share.instance, CopyItems(share.outcomes));
+  }
+  if (!share.requests.empty() && this->events.on_requests) {
+    this->events.on_requests(CopyItems(share.requests));
   }
-  std::vector<schema::BackendEvidenceT> evidence;
-  for (const auto& each : share.outcomes) {
-    evidence.push_back(*each);
+  if (!share.quarantined.empty() && this->events.on_quarantined) {
+    this->events.on_quarantined(CopyItems(share.quarantined));
   }
-  this->events.on_evidence(share.instance, evidence);
 }
 
 }  // namespace acacia
--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -1,7 +1,7 @@
 // One-way messages between the entries on a host platform: outcomes of
-// attempts, the newest store versions known, claims to read the store, and the
-// changes that readers relay. Messages may be lost; what did not arrive is read
-// from the store.
+// attempts, quarantined requests, the newest store versions known, claims to
+// read the store, and the changes that readers relay. Messages may be lost;
+// what did not arrive is read from the store.
 //
 // Use on one strand. Calls back on the executor.
 #ifndef SRC_ENTRY_PEERS_H_
@@ -33,6 +33,13 @@
   std::function<void(const std::string& from,
                      const std::vector<schema::BackendEvidenceT>& evidence)>
       on_evidence;
+  // What became of requests that broke off at other entries' attempts.
+  std::function<void(const std::vector<schema::RequestReportT>& reports)>
+      on_requests{};
+  // Quarantines that another entry knows of.
+  std::function<void(
+      const std::vector<schema::QuarantinedRequestT>& quarantines)>
+      on_quarantined{};
 };
 
 class EntryPeers {
@@ -45,13 +52,17 @@
              EntryPeersEvents events);
 
   tl::expected<void, std::string> Listen(const std::string& address);
+  // The address listened on.
+  PeerAddress Address() const { return this->transport.Address(); }
 
   // Sends outcomes, and a heartbeat when one is due. `known`: newest row
   // version known per table. `since`: version since which this entry has read
-  // each table without a gap, 0 while it does not.
-  void Share(const std::vector<schema::BackendEvidenceT>& evidence,
+  // each table without a gap, 0 while it does not. `quarantined`: the
+  // quarantines that this entry knows of.
+  void Share(const OutcomeReports& reports,
              const TableVersions& known,
-             const TableVersions& since);
+             const TableVersions& since,
+             const std::vector<schema::QuarantinedRequestT>& quarantined = {});
   // Sets the cells, which determine the recipients of evidence.
   void SetCells(Cells cells) { this->cells = std::move(cells); }
   // Others name this entry in lookups only while it serves.
@@ -77,9 +88,14 @@
   void Send(const InstanceId& to, const std::string& bytes);
   void SendLiveness(const ShareHeader& header,
                     const std::vector<InstanceId>& cell_peers);
-  void SendEvidenceBeyondCell(
-      const ShareHeader& header,
-      const std::vector<schema::BackendEvidenceT>& evidence);
+  void SendReportsBeyondCell(const ShareHeader& header,
+                             const OutcomeReports& reports);
+  std::vector<InstanceId> RecipientsOf(
+      const schema::BackendEvidenceT& evidence) const;
+  std::vector<InstanceId> RecipientsOf(
+      const schema::RequestReportT& report) const;
+  std::vector<InstanceId> AllMembers() const;
+  bool IsSmallFleet() const;
 
   schema::MemberUpdateT self;
   MemberDirectory& directory;
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -15,6 +15,7 @@
 #include "src/log_writer.h"
 #include "src/operator_server.h"
 #include "src/random_source.h"
+#include "src/request_quarantine.h"
 
 namespace acacia {
 namespace {
@@ -70,6 +71,7 @@
 
   const std::uint64_t seed;
   const Clock& clock;
+  RequestQuarantine quarantine;
   net::io_context io;
   EntryContext context;
   // Serializes housekeeping and shutdown; sessions run outside it.
@@ -103,6 +105,7 @@
                           EntryPolicy policy)
     : seed(ChooseSeed(settings)),
       clock(clock),
+      quarantine(std::make_unique<SeededRandom>(seed)),
       io(static_cast<int>(settings.worker_threads)),
       context(
           settings,
@@ -166,7 +169,7 @@
   return std::make_unique<Dispatcher>(
       service, this->self.instance,
       std::make_unique<SeededRandom>(this->random.Next()), view,
-      this->clock.Now(), this->policy.make_chooser);
+      this->clock.Now(), this->policy.make_chooser, &this->quarantine);
 }
 
 void EntryServer::State::OnConfiguration(
@@ -321,13 +324,15 @@
   metrics.backend_connections->Set(this->context.pool.ConnectionCount());
   metrics.in_flight->Set(this->context.active_requests.load());
   metrics.stopping->Set(this->stop_begun.load() ? 1 : 0);
+  metrics.quarantined_requests->Set(static_cast<double>(
+      this->quarantine.QuarantinedCount(this->clock.Now())));
 }
 
 std::vector<std::string> EntryServer::State::Status() {
   const auto snapshot = this->context.snapshot.Get();
   const std::uint64_t generation =
       snapshot->IsReady() ? snapshot->configuration->generation.Value() : 0;
-  return {
+  std::vector<std::string> lines{
       "instance " + this->context.settings.instance,
       "generation " + std::to_string(generation),
       "fleet_sequence " + std::to_string(snapshot->fleet_sequence),
@@ -335,6 +340,10 @@
       "in_flight " + std::to_string(this->context.active_requests.load()),
       "caller_connections " + std::to_string(this->context.connections.load()),
       std::string("stopping ") + (this->stop_begun.load() ? "true" : "false")};
+  for (std::string& line : this->quarantine.Explain(this->clock.Now())) {
+    lines.push_back(std::move(line));
+  }
+  return lines;
 }
 
 std::vector<std::string> EntryServer::State::Explain(
@@ -432,6 +441,10 @@
   return this->state->TakeEvidence();
 }
 
+RequestQuarantine& EntryServer::Quarantine() {
+  return this->state->quarantine;
+}
+
 void EntryServer::OnStop(std::function<void()> hook) {
   this->state->on_stop = std::move(hook);
 }
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -35,6 +35,7 @@
 };
 
 class EntryMetrics;
+class RequestQuarantine;
 
 class EntryServer {
  public:
@@ -59,6 +60,8 @@
   // Returns the evidence that this entry has gathered since the last call.
   // Thread-safe.
   std::vector<schema::BackendEvidenceT> TakeEvidence();
+  // The requests that are kept from backend servers because they crash them.
+  RequestQuarantine& Quarantine();
   // Sets a hook that is called once, on any thread, when the graceful shutdown
   // begins. Must be set before Start.
   void OnStop(std::function<void()> hook);
--- a/src/error_kind.cc
+++ b/src/error_kind.cc
@@ -47,6 +47,8 @@
      "Every backend server asked refused the request."},
     {kRateLimited, "rate_limited", 503, kNotRun, true,
      "Every backend server is at the rate limit that it named."},
+    {kQuarantined, "quarantined", 503, kNotRun, false,
+     "The request has crashed the backend servers that ran it."},
     {kBackendBroken, "backend_broken", 502, kUnknown, false,
      "The connection to the backend server broke."},
     {kBackendTimeout, "backend_timeout", 504, kUnknown, false,
--- a/src/error_kind.h
+++ b/src/error_kind.h
@@ -30,6 +30,7 @@
   kConnectFailed,
   kBackendRefused,
   kRateLimited,
+  kQuarantined,
   // The request may have run.
   kBackendBroken,
   kBackendTimeout,
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -15,6 +15,7 @@
 #include "src/operator_server.h"
 #include "src/peer_messages.h"
 #include "src/random_source.h"
+#include "src/request_quarantine.h"
 #include "src/table_follower.h"
 
 namespace acacia {
@@ -64,6 +65,8 @@
   void UpdateFleetSoon();
   void ArmTimer();
   net::awaitable<void> ShareOutcomes();
+  void OnEvidence(const std::string& from,
+                  const std::vector<schema::BackendEvidenceT>& evidence);
   TableFollower& Follower(FollowedTable table) const {
     return *this->followers[TableIndex(table)];
   }
@@ -140,7 +143,15 @@
                this->Follower(table).ApplyRelayed(after, changes);
              },
              [this](const std::string& from, const auto& evidence) {
-               this->entry.ApplyEvidence(from, evidence);
+               this->OnEvidence(from, evidence);
+             },
+             [this](const auto& reports) {
+               this->entry.Quarantine().OnPeerReports(reports,
+                                                      this->clock.Now());
+             },
+             [this](const auto& quarantines) {
+               this->entry.Quarantine().OnPeerQuarantines(quarantines,
+                                                          this->clock.Now());
              }}),
       lookups(strand,
               "",
@@ -426,7 +437,10 @@
   for (;;) {
     pause.expires_after(kShareInterval);
     co_await pause.async_wait(kAwait);
-    const auto evidence = this->entry.TakeEvidence();
+    RequestQuarantine& quarantine = this->entry.Quarantine();
+    const TimePoint now = this->clock.Now();
+    const OutcomeReports reports{this->entry.TakeEvidence(),
+                                 quarantine.TakeReports(now)};
     this->peers.UpdateRole();
     this->ApplyRole();
     // An entry that is not ready yet reports so: lookups then leave it out, and
@@ -435,10 +449,25 @@
     // with it the members table, is unavailable.
     if (!this->stopping) {
       this->peers.SetServing(this->IsReady());
-      this->peers.Share(evidence, this->NewestKnownRows(),
-                        this->GapFreeSince());
+      if (quarantine.TakeChanged()) {
+        this->peers.ShareSoon();
+      }
+      this->peers.Share(reports, this->NewestKnownRows(), this->GapFreeSince(),
+                        quarantine.Quarantines(now));
+    }
+  }
+}
+
+void HostControl::State::OnEvidence(
+    const std::string& from,
+    const std::vector<schema::BackendEvidenceT>& evidence) {
+  const TimePoint now = this->clock.Now();
+  for (const schema::BackendEvidenceT& each : evidence) {
+    if (each.good > 0) {
+      this->entry.Quarantine().OnBackendReportedGood(BackendId(each.id), now);
     }
   }
+  this->entry.ApplyEvidence(from, evidence);
 }
 
 TableVersions HostControl::State::NewestKnownRows() const {
--- a/src/ids.h
+++ b/src/ids.h
@@ -2,7 +2,10 @@
 #ifndef SRC_IDS_H_
 #define SRC_IDS_H_
 
+#include <array>
+#include <cinttypes>
 #include <cstdint>
+#include <cstdio>
 
 #include "src/strong_type.h"
 
@@ -32,6 +35,10 @@
 using RowVersion = StrongNumber<struct RowVersionTag, std::uint64_t>;
 // Matches the completion of a control action to the action.
 using OperationId = StrongNumber<struct OperationTag, std::uint64_t>;
+// Hash of a request's content; equal for every request with the same content. 0
+// if unknown.
+using RequestFingerprint =
+    StrongNumber<struct RequestFingerprintTag, std::uint64_t>;
 // Counts how often a store was restored from a copy, after which it gives out
 // the same version numbers again. 0 for a store without eras.
 using StoreEra = StrongNumber<struct StoreEraTag, std::uint32_t>;
@@ -57,6 +64,14 @@
   return version.Value() & kMaxRowVersionNumber;
 }
 
+// Writes 16 hexadecimal digits.
+inline std::ostream& operator<<(std::ostream& out,
+                                const RequestFingerprint& fingerprint) {
+  std::array<char, 17> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64, fingerprint.Value());
+  return out << text.data();
+}
+
 // Writes "number", or "era:number" for a store with eras.
 inline std::ostream& operator<<(std::ostream& out, const RowVersion& version) {
   if (EraOf(version) > StoreEra()) {
--- a/src/peer_messages.cc
+++ b/src/peer_messages.cc
@@ -36,9 +36,8 @@
                                                    : OwnRow::kLost;
 }
 
-std::string SerializeShare(
-    const ShareHeader& header,
-    const std::vector<schema::BackendEvidenceT>& evidence) {
+std::string SerializeShare(const ShareHeader& header,
+                           const OutcomeReports& reports) {
   schema::EntryMessageT message;
   message.share = std::make_unique<schema::OutcomeShareT>();
   schema::OutcomeShareT& share = *message.share;
@@ -57,9 +56,16 @@
   share.members_since = since[TableIndex(FollowedTable::Members)].Value();
   share.silent = header.silent;
   share.serving = header.serving;
-  for (const schema::BackendEvidenceT& each : evidence) {
+  for (const schema::QuarantinedRequestT& each : header.quarantined) {
+    share.quarantined.push_back(
+        std::make_unique<schema::QuarantinedRequestT>(each));
+  }
+  for (const schema::BackendEvidenceT& each : reports.backends) {
     share.outcomes.push_back(std::make_unique<schema::BackendEvidenceT>(each));
   }
+  for (const schema::RequestReportT& each : reports.requests) {
+    share.requests.push_back(std::make_unique<schema::RequestReportT>(each));
+  }
   return PackTable<schema::EntryMessage>(message);
 }
 
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -50,11 +50,22 @@
   std::vector<std::string> silent{};
   // Whether the sender serves callers.
   bool serving = true;
+  // The quarantines that the sender knows of, in heartbeats only.
+  std::vector<schema::QuarantinedRequestT> quarantined{};
 };
 
-std::string SerializeShare(
-    const ShareHeader& header,
-    const std::vector<schema::BackendEvidenceT>& evidence);
+// What the sender's attempts showed since its last message.
+struct OutcomeReports {
+  std::vector<schema::BackendEvidenceT> backends;
+  std::vector<schema::RequestReportT> requests{};
+
+  bool IsEmpty() const {
+    return this->backends.empty() && this->requests.empty();
+  }
+};
+
+std::string SerializeShare(const ShareHeader& header,
+                           const OutcomeReports& reports);
 std::string SerializeRelayed(FollowedTable table,
                              RowVersion after,
                              const TableRows& changes);
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -403,7 +403,8 @@
     event.With("rate_limit", *this->rate_limit);
   }
   if (this->last_error) {
-    event.With("error", this->last_error.message());
+    event.With("error", this->last_error.message())
+        .With("fingerprint", this->exchange.work.fingerprint);
   }
 }
 
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -7,6 +7,7 @@
 
 #include "src/log_event.h"
 #include "src/proxy_exchange.h"
+#include "src/request_quarantine.h"
 
 namespace acacia {
 namespace {
@@ -180,6 +181,10 @@
 // slot, and the attempt bounds the wait for the answer.
 void ProxyExchange::PrepareWork() {
   Exchange& request = *this->exchange;
+  const std::string_view host = request.head[boost::beast::http::field::host];
+  request.work.fingerprint =
+      FingerprintOf({request.head.method_string(), host, request.head.target(),
+                     request.body_prefix, request.work.body_bytes});
   request.work.hedgeable = request.body_complete;
   const bool unbounded =
       request.work.work_class == WorkClass::kLong || !request.body_complete;
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -402,10 +402,10 @@
   const ErrorAnswer& answer = AnswerFor(kind);
   const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(
       this->context.clock.Now() - this->start_time);
-  LogEvent(
+  LogEvent event(
       answer.outcome == Outcome::kNotRun ? "request_refused" : "request_failed",
-      LogSeverity::kWarning)
-      .With("request", this->LoggedId())
+      LogSeverity::kWarning);
+  event.With("request", this->LoggedId())
       .With("service", this->service_name)
       .With("route", this->exchange ? this->exchange->work.latency_key : "")
       .With("error", answer.name)
@@ -415,6 +415,9 @@
                 this->retry_after)
                 .count())
       .With("generation", this->generation);
+  if (kind == ErrorKind::kQuarantined) {
+    event.With("fingerprint", this->exchange->work.fingerprint);
+  }
 }
 
 void ProxyExchange::WriteSpan(std::string_view result) {
--- a/test/correctness/entry_peers_test.cc
+++ b/test/correctness/entry_peers_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "src/request_quarantine.h"
 #include "test/io_fixture.h"
 
 namespace acacia {
@@ -46,8 +47,24 @@
                [this](const std::string&, const auto& items) {
                  this->evidence.insert(this->evidence.end(), items.begin(),
                                        items.end());
+               },
+               [this, &clock](const auto& reports) {
+                 this->quarantine.OnPeerReports(reports, clock.Now());
+               },
+               [this, &clock](const auto& quarantines) {
+                 this->quarantine.OnPeerQuarantines(quarantines, clock.Now());
                }}) {
-    REQUIRE(this->peers.Listen(self.peer_address));
+    this->is_listening = this->peers.Listen(self.peer_address).has_value();
+  }
+
+  // Sends what the quarantine has to report, as often as an entry does.
+  void ShareRequests(TimePoint now) {
+    this->peers.UpdateRole();
+    if (this->quarantine.TakeChanged()) {
+      this->peers.ShareSoon();
+    }
+    this->peers.Share({{}, this->quarantine.TakeReports(now)}, kSince, kSince,
+                      this->quarantine.Quarantines(now));
   }
 
   MemberDirectory directory;
@@ -56,9 +73,29 @@
   RowVersion after;
   std::vector<TableRows> relayed;
   std::vector<schema::BackendEvidenceT> evidence;
+  RequestQuarantine quarantine{std::make_unique<SeededRandom>(1)};
   EntryPeers peers;
+  bool is_listening = false;
 };
 
+// Creates an entry that listens on a free port and sets its member's address.
+std::unique_ptr<Entry> NewEntry(boost::asio::io_context& context,
+                                schema::MemberUpdateT& self,
+                                const Clock& clock) {
+  self.peer_address = "127.0.0.1:0";
+  // The port of the stream may be in use for datagrams.
+  constexpr int kMaxTries = 20;
+  for (int i = 0; i < kMaxTries; ++i) {
+    auto entry = std::make_unique<Entry>(context, self, clock);
+    if (entry->is_listening) {
+      self.peer_address = entry->peers.Address().Value();
+      return entry;
+    }
+  }
+  FAIL("no free port");
+  return nullptr;
+}
+
 struct PeersFixture {
   PeersFixture() {
     for (const char* name : {"a0", "a1", "a2"}) {
@@ -67,6 +104,7 @@
     for (const auto& self : this->members) {
       this->entries.push_back(
           std::make_unique<Entry>(this->context, self, this->clock));
+      REQUIRE(this->entries.back()->is_listening);
       for (const auto& member : this->members) {
         this->entries.back()->directory.Put(member);
       }
@@ -142,6 +180,7 @@
   schema::MemberUpdateT other = Member("b0");
   other.failure_domain = "b";
   Entry distant(f.context, other, f.clock);
+  REQUIRE(distant.is_listening);
   f.entries[0]->directory.Put(other);
   schema::BackendEvidenceT unrelated;
   unrelated.id = "i-1";
@@ -154,7 +193,8 @@
   schema::BackendEvidenceT ended;
   ended.id = "i-4";
   ended.rate_limit_ended = true;
-  f.entries[0]->peers.Share({unrelated, started, named, ended}, kSince, kSince);
+  f.entries[0]->peers.Share({{unrelated, started, named, ended}}, kSince,
+                            kSince);
   RunUntil(f.context, [&] { return !distant.evidence.empty(); });
   REQUIRE(distant.evidence.size() == 3);
   CHECK(distant.evidence[0].started == 2);
@@ -179,10 +219,76 @@
   f.entries[0]->peers.Share({}, kSince, kSince);
   RunUntil(f.context, is_reported);
   constexpr TableVersions kNewer{RowVersion(6), RowVersion(6), RowVersion(6)};
-  f.entries[0]->peers.Share({schema::BackendEvidenceT()}, kNewer, kSince);
+  f.entries[0]->peers.Share({{schema::BackendEvidenceT()}}, kNewer, kSince);
   RunUntil(f.context, [&] { return f.entries[2]->known == kNewer; });
   CHECK(is_reported());
 }
 
+// Plays a request that crashes a backend server at each of three entries, the
+// last, the middle and the first of the fleet, until all entries refuse it.
+void CheckThatAllLearnOfCrashes(int domains, int entries_per_domain) {
+  constexpr RequestFingerprint kDeadly(7);
+  ManualClock clock;
+  boost::asio::io_context context;
+  std::vector<schema::MemberUpdateT> members;
+  std::vector<EntryLocation> places;
+  for (int i = 0; i < domains * entries_per_domain; ++i) {
+    const std::string domain(1,
+                             static_cast<char>('a' + i / entries_per_domain));
+    schema::MemberUpdateT& member = members.emplace_back();
+    member.instance = domain + std::to_string(i);
+    member.failure_domain = domain;
+    places.push_back({InstanceId(member.instance), FailureDomain(domain)});
+  }
+  Cells cells;
+  cells.Build(places, {});
+  std::vector<std::unique_ptr<Entry>> entries;
+  for (schema::MemberUpdateT& self : members) {
+    entries.push_back(NewEntry(context, self, clock));
+    entries.back()->peers.SetCells(cells);
+  }
+  for (const auto& entry : entries) {
+    for (const auto& member : members) {
+      entry->directory.Put(member);
+    }
+  }
+  const auto share = [&] {
+    for (const auto& entry : entries) {
+      entry->ShareRequests(clock.Now());
+    }
+    context.run_for(std::chrono::milliseconds(50));
+    context.restart();
+  };
+  const auto count_refusing = [&] {
+    return std::count_if(entries.begin(), entries.end(), [&](const auto& each) {
+      return each->quarantine.Remaining(kDeadly, clock.Now()).has_value();
+    });
+  };
+  share();
+  for (const std::size_t at :
+       {members.size() - 1, members.size() / 2, std::size_t{0}}) {
+    CHECK(count_refusing() == 0);
+    const TimePoint started = clock.Now();
+    clock.Advance(std::chrono::milliseconds(100));
+    entries[at]->quarantine.OnBroken(kDeadly, BackendId(std::to_string(at)),
+                                     started, clock.Now());
+    share();
+  }
+  const auto all = static_cast<std::ptrdiff_t>(entries.size());
+  for (int round = 0; round < 50 && count_refusing() < all; ++round) {
+    clock.Advance(std::chrono::milliseconds(40));
+    share();
+  }
+  CHECK(count_refusing() == all);
+}
+
+TEST_CASE("all entries of a small fleet learn of a crashing request") {
+  CheckThatAllLearnOfCrashes(3, 5);
+}
+
+TEST_CASE("all entries of a fleet of many cells learn of a crashing request") {
+  CheckThatAllLearnOfCrashes(3, 45);
+}
+
 }  // namespace
 }  // namespace acacia
--- a/test/correctness/fleet_state_test.cc
+++ b/test/correctness/fleet_state_test.cc
@@ -38,7 +38,7 @@
   evidence.failures = 2;
   const TableVersions known{RowVersion(1), RowVersion(2), RowVersion(3)};
   const TableVersions since{RowVersion(4), RowVersion(5), RowVersion(6)};
-  const std::string bytes = SerializeShare({"e1", known, since}, {evidence});
+  const std::string bytes = SerializeShare({"e1", known, since}, {{evidence}});
   const auto message = ParseEntryMessage(bytes);
   REQUIRE(message);
   REQUIRE(message->share);
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -43,16 +43,17 @@
     this->Apply();
   }
 
-  // Applies a configuration with two backend servers. `addresses` overrides the
-  // address of the scripted one for each.
-  void Apply(const std::vector<std::string>& addresses = {}) {
+  // Applies a configuration with `backend_servers` backend servers. `addresses`
+  // overrides the address of the scripted one for each.
+  void Apply(const std::vector<std::string>& addresses = {},
+             std::size_t backend_servers = 2) {
     auto configuration = std::make_shared<Configuration>();
     configuration->generation = this->generation;
     this->generation = this->generation.Next();
     acacia::Service service;
     service.name = ServiceName("kehto");
     service.policy.retry_window = RetryWindow{0.2, 10, std::chrono::seconds(9)};
-    for (std::size_t i = 0; i < 2; ++i) {
+    for (std::size_t i = 0; i < backend_servers; ++i) {
       const std::string name = "i-" + std::to_string(i + 1);
       service.backend_servers.push_back(
           {BackendId(name), FailureDomain("a"), 4,
@@ -294,6 +295,32 @@
   CHECK(arrived + refused == kRequests);
 }
 
+// Guards BUDGET: a request crashed one backend server after the other.
+TEST_CASE("a request that crashes backend servers is kept from further ones") {
+  std::atomic<int> crashed{0};
+  HostFixture f([&](TextStream& stream, const std::string& request) {
+    if (request.find("/b/deadly") != std::string::npos) {
+      ++crashed;
+      return false;
+    }
+    return stream.Send(SignedAnswer("abc", "body"));
+  });
+  f.Apply({}, 8);
+  for (const std::string& kind : {std::string(kGet), std::string(kPost)}) {
+    crashed = 0;
+    std::string deadly = kind;
+    deadly.replace(deadly.find("/b/x"), 4, "/b/deadly");
+    std::string answer;
+    for (int i = 0; i < 6; ++i) {
+      answer = f.RoundTrip(deadly);
+    }
+    CHECK(crashed == 3);
+    CHECK(StatusOf(answer) == 503);
+    CHECK(std::stod(Field(answer, "Retry-After")) > 50);
+    CHECK(StatusOf(f.RoundTrip(kind)) == 200);
+  }
+}
+
 TEST_CASE("an older configuration does not replace a newer one") {
   HostFixture f([](TextStream& stream, const std::string&) {
     return stream.Send(SignedAnswer("abc", "body"));
