--- a/test/correctness/host_decoders_test.cc
+++ b/test/correctness/host_decoders_test.cc
@@ -97,6 +97,56 @@
   CHECK(with(",\"born\":17", "")->id == BackendId("i-1"));
 }
 
+// Guards LOST: one odd registration stopped the entries that read it.
+TEST_CASE("an odd registration by another writer names no backend server") {
+  const std::string good = kRegistration;
+  const auto with = [&](const std::string& from, const std::string& to) {
+    std::string text = good;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+  };
+  constexpr std::size_t kDepth = 200000;
+  const std::string arrays =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string objects;
+  for (std::size_t i = 0; i < kDepth / 10; ++i) {
+    objects += R"({"a":)";
+  }
+  objects += "1" + std::string(kDepth / 10, '}');
+  const std::vector<std::string> odd{
+      arrays,
+      objects,
+      std::string(kDepth, '['),
+      with("\"v1\"", arrays),
+      with("\"kehto\"", objects),
+      with("6", "1e400"),
+      with("6", "1e300"),
+      with("6", "18446744073709551616"),
+      with("6", "18446744073709551615"),
+      with("6", "9007199254740993.5"),
+      with("6", "-1e300"),
+      with("6", std::string(1000, '9')),
+      with("8080", "65536"),
+      with("8080", "99999999999999999999"),
+      with("8080", "-1"),
+      with("8080", "0"),
+      with("8080", ""),
+      with("10.1.0.9", "10.1.0.256"),
+      with("10.1.0.9", ""),
+  };
+  for (const std::string& text : odd) {
+    INFO(text.substr(0, 200));
+    CHECK_FALSE(DecodeRegistration("i-1", text));
+  }
+  for (const std::string number :
+       {"1e400", "1e300", "-1e300", "18446744073709551616"}) {
+    INFO(number);
+    DecodeRegistration("i-1", with("1.5", number));
+    DecodeRegistration("i-1", with("\"seq\":4", "\"seq\":" + number));
+    DecodeRegistration("i-1", with("17", number));
+  }
+}
+
 TEST_CASE("how a backend server says that it did not run a request") {
   const Dialect dialect = HostDialect();
   http::response_header<> head;
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -197,6 +197,30 @@
   CHECK(f.follower->Version() == MakeRowVersion(StoreEra(2), 71));
 }
 
+// Guards LOST: one odd row stopped the entries that follow the table.
+TEST_CASE("an odd row does not keep others from being followed") {
+  constexpr std::size_t kDepth = 10000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  const auto odd_row = [](const std::string& value, std::uint64_t version) {
+    return R"({"table":"t","part":"","key":"odd","value":")" + value +
+           R"(","ver":)" + std::to_string(version) + "}";
+  };
+  FollowerFixture f;
+  f.Script(200,
+           RowsJson(7, RowJson("a", 5) + "," + odd_row(EncodeBase64(deep), 6) +
+                           "," + RowJson("c", 7)));
+  f.Script(200, RowsJson(9, odd_row("no base64 !", 8) + "," + RowJson("b", 9)));
+  f.Follow();
+  f.AwaitCalls(3);
+  REQUIRE(f.wholes.size() == 1);
+  REQUIRE(f.wholes[0].rows.size() == 3);
+  CHECK(f.wholes[0].rows[2].key == "c");
+  REQUIRE(f.changes.size() == 1);
+  REQUIRE(f.changes[0].rows.size() == 2);
+  CHECK(f.changes[0].rows[0].value.empty());
+  CHECK(f.changes[0].rows[1].key == "b");
+}
+
 TEST_CASE("an answer with an unreadable era is not taken") {
   FollowerFixture f;
   f.Script(200, RowsJson(75, RowJson("a", 72)), "many");
