Test that a refusal written twice is not taken for another request's

What other operators saw: a faulty endpoint wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran, or such a request ran at a second endpoint (REFUSED, TWICE).

--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -1,5 +1,9 @@
 // An entry that uses the host platform's dialect, in front of a faulty backend
 // server.
+#include <map>
+#include <mutex>
+#include <set>
+
 #include "platform/host_dialect.h"
 #include "src/fleet_pool.h"
 #include "test/proxy_fixture.h"
@@ -191,6 +195,61 @@
   CHECK(attempts == 2);
 }
 
+std::string PostWithId(const std::string& id) {
+  std::string post = kPost;
+  return post.replace(post.find("abc"), 3, id);
+}
+
+// Guards REFUSED and TWICE: a refusal written once more was taken for that of
+// the next request on the connection.
+TEST_CASE(
+    "a refusal that is written twice is not taken for another request's") {
+  enum class SecondCopy { kAtOnce, kBeforeNextAnswer, kInsteadOfNextAnswer };
+  for (const SecondCopy copy :
+       {SecondCopy::kAtOnce, SecondCopy::kBeforeNextAnswer,
+        SecondCopy::kInsteadOfNextAnswer}) {
+    for (const std::string& body : {std::string(), std::string("full")}) {
+      INFO(static_cast<int>(copy) << " " << body);
+      const std::string refusal =
+          "HTTP/1.1 503 Full\r\nX-Acaciaswitch-Request-Id: r1\r\n"
+          "X-Acaciaswitch-Not-Executed: 1\r\nContent-Length: " +
+          std::to_string(body.size()) + "\r\n\r\n" + body;
+      std::mutex mutex;
+      std::map<std::string, int> runs;
+      std::set<TextStream*> refused_on;
+      HostFixture f([&](TextStream& stream, const std::string& request) {
+        const std::lock_guard lock(mutex);
+        const std::string id = Field(request, "X-Acaciaswitch-Request-Id");
+        if (id == "r1") {
+          refused_on.insert(&stream);
+          return stream.Send(copy == SecondCopy::kAtOnce ? refusal + refusal
+                                                         : refusal);
+        }
+        ++runs[id];
+        if (refused_on.erase(&stream) > 0 && copy != SecondCopy::kAtOnce) {
+          stream.Send(refusal);
+          if (copy == SecondCopy::kInsteadOfNextAnswer) {
+            return false;
+          }
+        }
+        return stream.Send(SignedAnswer(id, "body of " + id));
+      });
+      CHECK(StatusOf(f.RoundTrip(PostWithId("r1"))) == 503);
+      for (const std::string id : {"r2", "r3", "r4"}) {
+        const std::string answer = f.RoundTrip(PostWithId(id));
+        INFO(id << ": " << answer);
+        CHECK(runs[id] == 1);
+        if (StatusOf(answer) == 200) {
+          CHECK(BodyOf(answer) == "body of " + id);
+        } else {
+          CHECK(copy == SecondCopy::kInsteadOfNextAnswer);
+          CHECK(StatusOf(answer) == 502);
+        }
+      }
+    }
+  }
+}
+
 TEST_CASE("an answer that ends with its connection reaches the caller whole") {
   HostFixture f([](TextStream& stream, const std::string&) {
     stream.Send(
