Test that an answer that ends in its head is never a success

What other operators saw: an endpoint stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole (MIXED). Not reproduced here: the parser is never told that the connection's end completes a head.

--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -250,6 +250,38 @@
   }
 }
 
+// Guards MIXED: an answer that broke off in its head reached the caller as a
+// whole one with an empty or short body.
+TEST_CASE("an answer that ends in its head is never a success") {
+  const std::vector<std::string> answers{
+      SignedAnswer("abc", "body"),
+      "HTTP/1.1 200 OK\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+      "X-Acaciaswitch-Response-Signature: s\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"};
+  for (const std::string& whole : answers) {
+    const std::size_t head_bytes = whole.find("\r\n\r\n") + 4;
+    std::atomic<std::size_t> cut{0};
+    std::atomic<bool> resets{false};
+    HostFixture f([&](TextStream& stream, const std::string&) {
+      stream.Send(whole.substr(0, cut));
+      if (resets) {
+        stream.Socket().set_option(boost::asio::socket_base::linger(true, 0));
+        stream.Close();
+      }
+      return false;
+    });
+    for (cut = 0; cut < head_bytes; ++cut) {
+      resets = !resets;
+      INFO("cut after " << cut << " bytes of: " << whole);
+      CHECK(StatusOf(f.RoundTrip(kPost)) == 502);
+      // Distinct requests, so that none counts as crashing backend servers.
+      std::string get = kGet;
+      get.replace(get.find("/b/x"), 4, "/b/" + std::to_string(cut));
+      CHECK(StatusOf(f.RoundTrip(get)) == 502);
+    }
+  }
+}
+
 TEST_CASE("an answer that ends with its connection reaches the caller whole") {
   HostFixture f([](TextStream& stream, const std::string&) {
     stream.Send(
