Bound what the quarantine of crashing requests keeps and sends

An entry that has no peers never takes its reports, so they would have grown with each broken attempt; a fingerprint in flight at every backend server would have kept a crash of each; and 32 quarantines make a heartbeat that does not fit into a datagram. Now at most 1,024 unsent reports, 16 crashes of a fingerprint and 16 quarantines are kept. A quarantine lasts 10 to 20 minutes at most, not one to two hours, since after the backend servers are mended the request is refused until it ends; until then it costs a backend server each time.

--- a/src/request_quarantine.cc
+++ b/src/request_quarantine.cc
@@ -73,7 +73,7 @@
   report.event = schema::RequestEvent::Crashed;
   report.backend = backend.Value();
   report.ran_ms = MillisecondsSince(started, now);
-  this->reports.push_back({std::move(report), now});
+  this->AddReport(std::move(report), now);
 }
 
 void RequestQuarantine::OnAnswered(RequestFingerprint fingerprint,
@@ -83,7 +83,7 @@
     schema::RequestReportT report;
     report.fingerprint = fingerprint.Value();
     report.event = schema::RequestEvent::Answered;
-    this->reports.push_back({std::move(report), now});
+    this->AddReport(std::move(report), now);
   }
 }
 
@@ -251,6 +251,10 @@
       [](const Crash& a, const Crash& b) { return a.ended < b.ended; });
   record.crashes.insert(at, crash);
   this->by_backend[crash.backend].insert(fingerprint);
+  if (record.crashes.size() > kMaxCrashesKept) {
+    this->Unindex(fingerprint, record.crashes.front().backend);
+    record.crashes.erase(record.crashes.begin());
+  }
   const int successive = CountSuccessive(record.crashes);
   if (crash.own) {
     LogEvent("request_crashed_backend", LogSeverity::kWarning)
@@ -281,11 +285,7 @@
   }
   const bool own = crash->own;
   record.crashes.erase(crash);
-  const auto indexed = this->by_backend.find(backend);
-  indexed->second.erase(fingerprint);
-  if (indexed->second.empty()) {
-    this->by_backend.erase(indexed);
-  }
+  this->Unindex(fingerprint, backend);
   if (IsInForce(record, now) && !record.adopted &&
       CountSuccessive(record.crashes) < record.needed_crashes) {
     this->Release(fingerprint, record);
@@ -318,7 +318,7 @@
       report.fingerprint = fingerprint.Value();
       report.event = schema::RequestEvent::Withdrawn;
       report.backend = backend.Value();
-      this->reports.push_back({std::move(report), now});
+      this->AddReport(std::move(report), now);
     }
   }
 }
@@ -343,12 +343,26 @@
 void RequestQuarantine::ClearCrashes(RequestFingerprint fingerprint,
                                      Record& record) {
   for (const Crash& crash : std::exchange(record.crashes, {})) {
-    const auto indexed = this->by_backend.find(crash.backend);
-    indexed->second.erase(fingerprint);
-    if (indexed->second.empty()) {
-      this->by_backend.erase(indexed);
-    }
+    this->Unindex(fingerprint, crash.backend);
+  }
+}
+
+void RequestQuarantine::Unindex(RequestFingerprint fingerprint,
+                                const BackendId& backend) {
+  const auto indexed = this->by_backend.find(backend);
+  indexed->second.erase(fingerprint);
+  if (indexed->second.empty()) {
+    this->by_backend.erase(indexed);
+  }
+}
+
+// An entry without peers never sends its reports: the oldest are dropped.
+void RequestQuarantine::AddReport(schema::RequestReportT report,
+                                  TimePoint ended) {
+  if (this->reports.size() >= kMaxUnsentReports) {
+    this->reports.pop_front();
   }
+  this->reports.push_back({std::move(report), ended});
 }
 
 void RequestQuarantine::Begin(RequestFingerprint fingerprint,
--- a/src/request_quarantine.h
+++ b/src/request_quarantine.h
@@ -17,6 +17,7 @@
 #define SRC_REQUEST_QUARANTINE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -51,12 +52,16 @@
  public:
   static constexpr int kMinCrashes = 3;
   static constexpr Duration kFirstQuarantine = std::chrono::minutes(1);
-  static constexpr Duration kMaxQuarantine = std::chrono::hours(1);
+  // A backend server that has been mended gets the request again after twice
+  // this time at the latest.
+  static constexpr Duration kMaxQuarantine = std::chrono::minutes(10);
   // Crashes further apart are not related to each other.
   static constexpr Duration kCrashMemory = std::chrono::minutes(10);
   // Bounds on memory and on the size of messages.
   static constexpr std::size_t kMaxFingerprints = 4096;
-  static constexpr std::size_t kMaxQuarantined = 32;
+  static constexpr std::size_t kMaxCrashesKept = 16;
+  static constexpr std::size_t kMaxQuarantined = 16;
+  static constexpr std::size_t kMaxUnsentReports = 1024;
 
   explicit RequestQuarantine(std::unique_ptr<RandomSource> random);
 
@@ -146,6 +151,8 @@
                        TimePoint now);
   bool Clear(RequestFingerprint fingerprint);
   void ClearCrashes(RequestFingerprint fingerprint, Record& record);
+  void Unindex(RequestFingerprint fingerprint, const BackendId& backend);
+  void AddReport(schema::RequestReportT report, TimePoint ended);
   void Begin(RequestFingerprint fingerprint, Record& record, TimePoint now);
   void Release(RequestFingerprint fingerprint, Record& record);
   void SetTimes(Record& record, TimePoint began);
@@ -161,7 +168,7 @@
   std::map<BackendId, std::set<RequestFingerprint>> by_backend;
   // The fingerprints that have been quarantined.
   std::set<RequestFingerprint> quarantined;
-  std::vector<PendingReport> reports;
+  std::deque<PendingReport> reports;
   bool changed = false;
   TimePoint cleaned_at{};
 };
--- a/test/correctness/request_quarantine_test.cc
+++ b/test/correctness/request_quarantine_test.cc
@@ -160,6 +160,12 @@
     }
   }
   CHECK(quarantine.QuarantinedCount(now) == RequestQuarantine::kMaxQuarantined);
+  CHECK(quarantine.TakeReports(now).size() ==
+        RequestQuarantine::kMaxUnsentReports);
+  for (int backend = 0; backend < 100; ++backend) {
+    quarantine.OnBroken(kDeadly, Backend(backend), kStart, now);
+  }
+  CHECK_FALSE(quarantine.Remaining(kDeadly, now));
   CHECK(quarantine.Quarantines(now).size() ==
         RequestQuarantine::kMaxQuarantined);
 }
