Stop using backend servers that announce in an answer that they are leaving

Cause: only the store's row was read. An entry that is cut off from the store, or reads an old row, went on using a backend server that had said that it leaves. Failing before, with the header not read: host_proxy_test 'requests go no more to a backend server that announced its leaving': 10 == 1, 2 == 1 and 7 == 1 requests at the one that leaves (success, 500, refusal); no refusal once all leave. Change: the head of any answer is looked at as it arrives, so that one that is retried or streamed counts too. The incarnation is out of use for good, and the other entries are told. Queued requests that are left without a choice are refused. Why it works: the mark is kept by incarnation, beside the view, so that no row of the store, older, relayed or restored, undoes it.

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -554,6 +554,24 @@
   return state.TakeActions(now);
 }
 
+DispatchActions Dispatcher::OnBackendNotice(RequestId request_id,
+                                            AttemptId attempt_id,
+                                            const BackendNotice& notice,
+                                            TimePoint now) {
+  State& state = *this->state;
+  RequestState* request = state.Find(request_id);
+  RunningAttempt* attempt =
+      request == nullptr ? nullptr : request->FindAttempt(attempt_id);
+  if (attempt == nullptr) {
+    return {};
+  }
+  if (notice.leaving) {
+    state.chooser->OnLeavingReported(*attempt->backend, now);
+  }
+  state.RefuseQueuedWithoutChoice(now);
+  return state.TakeActions(now);
+}
+
 DispatchActions Dispatcher::OnAttemptEnd(const AttemptReport& report,
                                          TimePoint now) {
   State& state = *this->state;
@@ -640,6 +658,7 @@
     const std::vector<schema::BackendEvidenceT>& evidence,
     TimePoint now) {
   this->state->chooser->OnFleetEvidence(from, evidence, now);
+  this->state->RefuseQueuedWithoutChoice(now);
   return this->state->TakeActions(now);
 }
 
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -93,6 +93,12 @@
   std::optional<double> rate_limit{};
 };
 
+// What the head of an answer says about its backend server.
+struct BackendNotice {
+  // It is leaving.
+  bool leaving = false;
+};
+
 struct StartAttempt {
   RequestId request;
   AttemptId attempt;
@@ -194,6 +200,12 @@
                                bool replayable,
                                TimePoint now);
 
+  // The head of any answer said something about the backend server.
+  DispatchActions OnBackendNotice(RequestId request,
+                                  AttemptId attempt,
+                                  const BackendNotice& notice,
+                                  TimePoint now);
+
   // The attempt ended. After RelayAnswer this ends the request, whatever the
   // result.
   DispatchActions OnAttemptEnd(const AttemptReport& report, TimePoint now);
--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -167,16 +167,17 @@
   return all;
 }
 
-// Evidence about suspects goes to the entries of their cells, or to all entries
-// of a small fleet. What concerns a rate limit goes to all entries that count
-// towards it: those of the backend server's cell, or all entries while the
-// failure domains are not divided into cells.
+// Evidence about suspects, and about backend servers that are leaving, goes to
+// the entries of their cells, or to all entries of a small fleet. What concerns
+// a rate limit goes to all entries that count towards it: those of the backend
+// server's cell, or all entries while the failure domains are not divided into
+// cells.
 std::vector<InstanceId> EntryPeers::RecipientsOf(
     const schema::BackendEvidenceT& evidence) const {
   const bool is_about_rate_limit = evidence.started > 0 ||
                                    evidence.rate_limit >= 0 ||
                                    evidence.rate_limit_ended;
-  if (!evidence.avoided && !is_about_rate_limit) {
+  if (!evidence.avoided && !evidence.leaving && !is_about_rate_limit) {
     return {};
   }
   if (this->IsSmallFleet() ||
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -61,6 +61,9 @@
 // requests from this load per slot on.
 constexpr double kMaxOverflowPerSlot = 2;
 
+// Longer than a backend server that has left may still appear in a registry.
+constexpr Duration kLeavingMemory = std::chrono::minutes(10);
+
 constexpr std::size_t kPercent = 100;
 
 bool IsExcluded(const std::vector<BackendId>& ids, const BackendId& id) {
@@ -88,7 +91,7 @@
                      RandomSource& random)
     : service(std::move(service)), domain(std::move(domain)), random(random) {}
 
-void FleetPool::Apply(const ServiceView& view, TimePoint /*now*/) {
+void FleetPool::Apply(const ServiceView& view, TimePoint now) {
   this->floor_percent = view.policy.floor_percent;
   this->cell_size = std::max(view.cell_size, 1U);
   this->is_divided = !view.cell_backends.empty();
@@ -105,6 +108,7 @@
     stored->server.slots = std::max(server.slots, 1U);
     stored->in_view = true;
     stored->leaving = view.leaving.contains(server.id);
+    stored->reported_leaving = this->announced_leaving.contains(server.id);
     stored->is_cold = view.cold.contains(server.id);
     stored->is_home = view.cell_backends.empty()
                           ? server.failure_domain == this->domain
@@ -114,6 +118,10 @@
   std::erase_if(this->backends, [](const auto& item) {
     return !item.second->in_view && item.second->InFlight() == 0;
   });
+  std::erase_if(this->announced_leaving, [this, now](const auto& item) {
+    return now - item.second >= kLeavingMemory &&
+           this->Find(item.first) == nullptr;
+  });
 }
 
 FleetBackend* FleetPool::Find(const BackendId& id) const {
@@ -464,6 +472,26 @@
   }
 }
 
+void FleetPool::OnLeavingReported(PooledBackend& backend, TimePoint now) {
+  this->MarkLeaving(backend.server.id, kSelf, now);
+}
+
+void FleetPool::MarkLeaving(const BackendId& id,
+                            const std::string& source,
+                            TimePoint now) {
+  const bool is_new = this->announced_leaving.emplace(id, now).second;
+  FleetBackend* backend = this->Find(id);
+  if (backend != nullptr) {
+    backend->reported_leaving = true;
+  }
+  if (is_new && source == kSelf && backend != nullptr) {
+    backend->has_unsent_leaving = true;
+    LogEvent("backend_announced_leaving")
+        .With("service", this->service)
+        .With("backend_server", id);
+  }
+}
+
 void FleetPool::LogRateLimit(const FleetBackend& backend, double rate) const {
   LogEvent(rate > 0 ? "rate_limit_named" : "rate_limit_ended")
       .With("service", this->service)
@@ -542,6 +570,9 @@
     const std::vector<schema::BackendEvidenceT>& evidence,
     TimePoint now) {
   for (const schema::BackendEvidenceT& each : evidence) {
+    if (each.leaving) {
+      this->MarkLeaving(BackendId(each.id), from, now);
+    }
     FleetBackend* backend = this->Find(BackendId(each.id));
     if (backend == nullptr) {
       continue;
@@ -582,7 +613,7 @@
     if (outcomes == 0 && !backend->has_unsent_load && !in_flight_is_stale &&
         backend->InFlight() == backend->sent_in_flight &&
         backend->started == 0 && backend->unsent_rate_limit < 0 &&
-        !backend->has_unsent_rate_limit_end) {
+        !backend->has_unsent_rate_limit_end && !backend->has_unsent_leaving) {
       continue;
     }
     schema::BackendEvidenceT item;
@@ -602,6 +633,7 @@
     item.rate_limit = std::exchange(backend->unsent_rate_limit, -1);
     item.rate_limit_ended =
         std::exchange(backend->has_unsent_rate_limit_end, false);
+    item.leaving = std::exchange(backend->has_unsent_leaving, false);
     item.in_flight = backend->InFlight();
     backend->sent_in_flight = item.in_flight;
     backend->in_flight_sent_at = now;
@@ -640,9 +672,9 @@
   for (const FleetBackend* backend : this->listed) {
     std::ostringstream line;
     line << backend->server.id.Value() << " "
-         << (backend->leaving                 ? "leaving"
-             : backend->shared.IsSuspect(now) ? "suspect"
-                                              : "in service")
+         << (backend->leaving || backend->reported_leaving ? "leaving"
+             : backend->shared.IsSuspect(now)              ? "suspect"
+                                                           : "in service")
          << " suspicion=" << backend->shared.Suspicion(now)
          << " in_flight=" << backend->InFlight()
          << " reported=" << backend->reported.running << ","
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -51,6 +51,9 @@
   // other entries yet; negative when there is none.
   double unsent_rate_limit = -1;
   bool has_unsent_rate_limit_end = false;
+  // It announced to this entry that it is leaving, which has not been sent to
+  // the other entries yet.
+  bool has_unsent_leaving = false;
   // Attempts started since the last TakeEvidence.
   std::uint32_t started = 0;
   // The entry whose evidence made it a suspect.
@@ -102,8 +105,7 @@
   std::optional<ServiceLoad> Load(const Work& work,
                                   TimePoint now) const override;
   Duration MedianLatency(const Work& work) const override;
-  void OnLeavingReported(PooledBackend& /*backend*/,
-                         TimePoint /*now*/) override {}
+  void OnLeavingReported(PooledBackend& backend, TimePoint now) override;
   std::optional<TimePoint> NextReopenTime(TimePoint /*now*/) const override {
     return std::nullopt;
   }
@@ -121,6 +123,11 @@
   Candidates SelectInService(const std::vector<BackendId>& excluded) const;
   // Whether this entry may send it a request under the limit that it named.
   bool IsWithinRateLimit(const FleetBackend& backend, TimePoint now) const;
+  // Records that the backend server, which need not be in the view, announced
+  // its leaving. `source` is the instance that it told, or kSelf.
+  void MarkLeaving(const BackendId& id,
+                   const std::string& source,
+                   TimePoint now);
   // Logs when a limit begins or ends by an answer to this entry.
   void LogRateLimit(const FleetBackend& backend, double rate) const;
   FleetBackend* PickProbe(const Candidates& usable, TimePoint now);
@@ -163,6 +170,9 @@
   std::unordered_map<BackendId, std::unique_ptr<FleetBackend>> backends;
   // The backend servers in the current view.
   Candidates listed;
+  // Backend servers that announced in an answer that they are leaving, and
+  // when. The store may not know it, or no longer.
+  std::unordered_map<BackendId, TimePoint> announced_leaving;
   // Keyed by Work.latency_key.
   std::unordered_map<std::string, LatencyWindow> latencies;
 };
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -193,6 +193,10 @@
   const auto& head = this->parser->get();
   const Dialect& dialect = this->context.dialect;
   this->leaving = dialect.announces_leaving(head);
+  const BackendNotice notice{this->leaving};
+  if (notice.leaving) {
+    this->owner.OnBackendNotice(*this, notice);
+  }
   this->load = dialect.parse_load(head[dialect.load]);
   if (!dialect.rate_limit.empty()) {
     this->rate_limit = dialect.parse_rate_limit(head[dialect.rate_limit]);
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -103,6 +103,8 @@
   // Reports the status of the answer to the dispatcher. Returns true if this
   // attempt's answer is to be relayed now.
   virtual bool OnAnswerHead(ProxyAttempt& attempt, int http_status) = 0;
+  virtual void OnBackendNotice(ProxyAttempt& attempt,
+                               const BackendNotice& notice) = 0;
   virtual void OnAttemptEnd(ProxyAttempt& attempt, AttemptResult result) = 0;
   // The caller closed the connection, timed out or sent a malformed body.
   virtual void OnCallerFailed(BodyError error) = 0;
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -364,6 +364,17 @@
   return relay;
 }
 
+void ProxyExchange::OnBackendNotice(ProxyAttempt& attempt,
+                                    const BackendNotice& notice) {
+  this->service->HandleEvent(
+      [&](Dispatcher& dispatcher, TimePoint now) {
+        return dispatcher.OnBackendNotice(this->exchange->id, attempt.Id(),
+                                          notice, now);
+      },
+      this);
+  this->ProcessActions();
+}
+
 void ProxyExchange::OnAttemptEnd(ProxyAttempt& attempt, AttemptResult result) {
   this->metrics->attempts[static_cast<std::size_t>(result)]->Increment();
   if (this->caller_failed || this->refusal) {
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -60,6 +60,8 @@
   void ArmWatchdog() override;
   void EnableCallerTimeout(bool enabled) override;
   bool OnAnswerHead(ProxyAttempt& attempt, int http_status) override;
+  void OnBackendNotice(ProxyAttempt& attempt,
+                       const BackendNotice& notice) override;
   void OnAttemptEnd(ProxyAttempt& attempt, AttemptResult result) override;
   bool MustClose() const override;
   bool MustKeepOpen() const override;
--- a/test/correctness/entry_peers_test.cc
+++ b/test/correctness/entry_peers_test.cc
@@ -175,6 +175,21 @@
   CHECK(f.entries[2]->relayed.front().rows[0].value.size() == 4000);
 }
 
+TEST_CASE("that a backend server is leaving is sent to all failure domains") {
+  PeersFixture f;
+  schema::MemberUpdateT other = Member("b0");
+  other.failure_domain = "b";
+  Entry distant(f.context, other, f.clock);
+  REQUIRE(distant.is_listening);
+  f.entries[0]->directory.Put(other);
+  schema::BackendEvidenceT leaving;
+  leaving.id = "i-1";
+  leaving.leaving = true;
+  f.entries[0]->peers.Share({{leaving}}, kSince, kSince);
+  RunUntil(f.context, [&] { return !distant.evidence.empty(); });
+  CHECK(distant.evidence.front().leaving);
+}
+
 TEST_CASE("what concerns a rate limit is sent to all failure domains") {
   PeersFixture f;
   schema::MemberUpdateT other = Member("b0");
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -464,6 +464,56 @@
   CHECK(shared < unshared);
 }
 
+// Guards DRAIN: what an answer said was not read, only the store's row.
+TEST_CASE("a backend server that announced its leaving gets nothing more") {
+  PoolFixture f;
+  PooledBackend* left = f.Pick(false);
+  const BackendId id = left->server.id;
+  f.pool.OnLeavingReported(*left, f.now);
+  const auto evidence = f.pool.TakeEvidence(f.now);
+  REQUIRE(evidence.size() == 1);
+  CHECK(evidence.front().leaving);
+  CHECK(evidence.front().id == id.Value());
+  CHECK(f.pool.TakeEvidence(f.now).empty());
+  const auto check_unused = [&](FleetPool& pool) {
+    for (int i = 0; i < 100; ++i) {
+      for (const bool idempotent : {true, false}) {
+        const Work work = f.MakeWork(idempotent);
+        CHECK_FALSE(pool.Pick({work, f.excluded}, f.now)->server.id == id);
+      }
+    }
+  };
+  check_unused(f.pool);
+  // Neither an older view nor one from which it was missing brings it back.
+  f.pool.Apply(f.view, f.now);
+  check_unused(f.pool);
+  f.pool.Apply({}, f.now);
+  f.now += seconds(60);
+  f.pool.Apply(f.view, f.now);
+  check_unused(f.pool);
+  // Another entry hears of it, also before its own view names the server.
+  FleetPool other(ServiceName("s"), FailureDomain("near"), f.random);
+  other.OnFleetEvidence("self", evidence, f.now);
+  other.Apply(f.view, f.now);
+  check_unused(other);
+  CHECK(other.TakeEvidence(f.now).empty());
+  // A new incarnation at the same address is another backend server.
+  f.view.backend_servers.push_back(f.view.backend_servers.front());
+  f.view.backend_servers.back().id = BackendId("reborn");
+  f.view.backend_servers.back().failure_domain = FailureDomain("near");
+  f.pool.Apply(f.view, f.now);
+  CHECK(f.UsedByNonIdempotent().contains(BackendId("reborn")));
+}
+
+TEST_CASE("when all announced their leaving there is no alternative") {
+  PoolFixture f;
+  for (int i = 0; i < 6; ++i) {
+    f.pool.OnLeavingReported(*f.Pick(false), f.now);
+  }
+  CHECK(f.Pick(true) == nullptr);
+  CHECK_FALSE(f.pool.HasAlternative({}));
+}
+
 TEST_CASE("the late threshold follows the route's median latency") {
   PoolFixture f;
   const Work work = f.MakeWork(true);
--- a/test/correctness/host_decoders_test.cc
+++ b/test/correctness/host_decoders_test.cc
@@ -184,6 +184,16 @@
   }
 }
 
+TEST_CASE("how a backend server says that it is leaving") {
+  const Dialect dialect = HostDialect();
+  http::response_header<> head;
+  CHECK_FALSE(dialect.announces_leaving(head));
+  head.set("Server-Leaving", "0");
+  CHECK_FALSE(dialect.announces_leaving(head));
+  head.set("server-leaving", "1");
+  CHECK(dialect.announces_leaving(head));
+}
+
 TEST_CASE("base64 both ways") {
   for (const std::string& text :
        std::vector<std::string>{"", "a", "ab", "abc", std::string("\0x", 2)}) {
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -412,6 +412,49 @@
   }
 }
 
+// Adds a header field to an answer.
+std::string WithField(std::string answer, const std::string& field) {
+  return answer.insert(answer.find("\r\n") + 2, field + "\r\n");
+}
+
+// Guards DRAIN: an answer that announced its backend server's leaving did not
+// keep later requests away.
+TEST_CASE(
+    "requests go no more to a backend server that announced its leaving") {
+  const std::string server_error =
+      "HTTP/1.1 500 Broken\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+      "Content-Length: 0\r\n\r\n";
+  const std::string refusal =
+      "HTTP/1.1 503 Leaving\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+      "X-Acaciaswitch-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string& last :
+       {SignedAnswer("abc", "body"), server_error, refusal}) {
+    INFO(last);
+    std::mutex mutex;
+    std::map<std::string, int> arrived;
+    std::atomic<bool> all_leave{false};
+    HostFixture f([&](TextStream& stream, const std::string& request) {
+      const std::lock_guard lock(mutex);
+      const std::string name =
+          Field(request, "X-Acaciaswitch-Expected-Instance");
+      ++arrived[name];
+      const bool leaves = name == "i-1" || all_leave;
+      return stream.Send(leaves ? WithField(last, "Server-Leaving: 1")
+                                : SignedAnswer("abc", "body"));
+    });
+    for (int i = 0; i < 20; ++i) {
+      f.RoundTrip(i % 2 == 0 ? kGet : kPost);
+      f.Apply();
+    }
+    CHECK(arrived["i-1"] == 1);
+    all_leave = true;
+    f.RoundTrip(kPost);
+    const int before = arrived["i-1"] + arrived["i-2"];
+    CHECK(StatusOf(f.RoundTrip(kPost)) == 503);
+    CHECK(arrived["i-1"] + arrived["i-2"] == before);
+  }
+}
+
 TEST_CASE("an older configuration does not replace a newer one") {
   HostFixture f([](TextStream& stream, const std::string&) {
     return stream.Send(SignedAnswer("abc", "body"));
