Keep to the pauses that backend servers ask for

Cause: Retry-After of a backend server was not read. A refusal kept only the one request away, and the next went there again. Failing before, with the header not read: host_proxy_test 'requests go to no backend server in a pause that it asked for': 8 == 1 requests at the one that pauses. Change: the pause is read from the head of any 503 (decimal seconds, the longest of several, at most 10 minutes; 0, dates and what is no number are no pause) and held against every choice: first attempts, retries, hedges and probes of suspects, also below the floor. When all backend servers pause, requests are refused at once, queued ones too, and callers return within a second after the first pause ends. Why it works: one place selects who may receive, and all choices go through it.

--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -81,12 +81,24 @@
                            AttemptResult /*result*/,
                            TimePoint /*started*/,
                            TimePoint /*now*/) {}
-  // True when the rate limits that backend servers named leave none, among
-  // those that are not excluded, to which a request may be sent now.
+  // True when the rate limits and pauses that backend servers named leave none,
+  // among those that are not excluded, to which a request may be sent now.
   virtual bool AllAtRateLimit(const std::vector<BackendId>& /*excluded*/,
                               TimePoint /*now*/) const {
     return false;
   }
+  // The backend server turned a request away and wants no further ones for
+  // `pause`.
+  virtual void OnPause(PooledBackend& /*backend*/,
+                       Duration /*pause*/,
+                       TimePoint /*now*/) {}
+  // How long until the first backend server that is not excluded takes requests
+  // again; nullopt unless all of them are pausing.
+  virtual std::optional<Duration> PauseLeft(
+      const std::vector<BackendId>& /*excluded*/,
+      TimePoint /*now*/) const {
+    return std::nullopt;
+  }
   virtual void OnOverdue(PooledBackend& backend,
                          const OverdueAttempt& attempt,
                          TimePoint now) = 0;
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "src/clock.h"
 #include "src/reported_load.h"
 
 namespace acacia {
@@ -44,6 +45,11 @@
   // True for an answer which states that the backend server is leaving.
   std::function<bool(const boost::beast::http::response_header<>& head)>
       announces_leaving;
+  // How long a backend server that turned a request away wants no further ones
+  // from this entry; nullopt if the answer names no time. Optional.
+  std::function<std::optional<Duration>(
+      const boost::beast::http::response_header<>& head)>
+      read_pause;
   std::function<std::optional<ReportedLoad>(std::string_view text)> parse_load;
   // Returns requests per second. Set if `rate_limit` is.
   std::function<std::optional<double>(std::string_view text)> parse_rate_limit;
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -128,8 +128,8 @@
   }
 }
 
-// A request that no backend server may take for its rate limit is refused at
-// once, so that the caller can return when one may.
+// A request that no backend server may take, for its rate limit or a pause, is
+// refused at once, so that the caller can return when one may.
 void Dispatcher::State::EnqueueOrRefuse(RequestState& request, TimePoint now) {
   if (this->chooser->AllAtRateLimit(request.failed, now)) {
     this->Refuse(request.work.request, ErrorKind::kRateLimited, now);
@@ -198,16 +198,20 @@
   if (this->queue.IsEmpty()) {
     return;
   }
-  std::vector<RequestId> refused;
+  std::vector<std::pair<RequestId, ErrorKind>> refused;
   for (const auto& [id, request] : this->requests) {
-    if (request.running.empty() &&
-        !this->chooser->HasAlternative(request.failed)) {
-      refused.push_back(id);
+    if (!request.running.empty()) {
+      continue;
+    }
+    if (!this->chooser->HasAlternative(request.failed)) {
+      refused.emplace_back(id, ErrorKind::kNoBackend);
+    } else if (this->chooser->PauseLeft(request.failed, now)) {
+      refused.emplace_back(id, ErrorKind::kRateLimited);
     }
   }
   std::sort(refused.begin(), refused.end());
-  for (const RequestId id : refused) {
-    this->Refuse(id, ErrorKind::kNoBackend, now);
+  for (const auto& [id, kind] : refused) {
+    this->Refuse(id, kind, now);
   }
 }
 
@@ -568,6 +572,9 @@
   if (notice.leaving) {
     state.chooser->OnLeavingReported(*attempt->backend, now);
   }
+  if (notice.pause) {
+    state.chooser->OnPause(*attempt->backend, *notice.pause, now);
+  }
   state.RefuseQueuedWithoutChoice(now);
   return state.TakeActions(now);
 }
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -97,6 +97,8 @@
 struct BackendNotice {
   // It is leaving.
   bool leaving = false;
+  // It wants no requests from this entry for this long.
+  std::optional<Duration> pause{};
 };
 
 struct StartAttempt {
--- a/src/error_kind.cc
+++ b/src/error_kind.cc
@@ -46,7 +46,8 @@
     {kBackendRefused, "backend_refused", 503, kNotRun, true,
      "Every backend server asked refused the request."},
     {kRateLimited, "rate_limited", 503, kNotRun, true,
-     "Every backend server is at the rate limit that it named."},
+     "Every backend server is at the rate limit, or in the pause, that it "
+     "named."},
     {kQuarantined, "quarantined", 503, kNotRun, false,
      "The request has crashed the backend servers that ran it."},
     {kBackendBroken, "backend_broken", 502, kUnknown, false,
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -142,8 +142,8 @@
                                TimePoint now) const {
   Candidates in_service = this->SelectInService(excluded);
   return !in_service.empty() &&
-         this->SelectWithinRateLimits(
-                 this->SelectTrusted(std::move(in_service), now), now)
+         this->SelectReceptive(this->SelectTrusted(std::move(in_service), now),
+                               now)
              .empty();
 }
 
@@ -160,8 +160,11 @@
 
 // While some backend servers may get no more requests, the requests that they
 // would have received must not all queue at the others.
-FleetPool::Candidates FleetPool::SelectWithinRateLimits(Candidates trusted,
-                                                        TimePoint now) const {
+FleetPool::Candidates FleetPool::SelectReceptive(Candidates trusted,
+                                                 TimePoint now) const {
+  std::erase_if(trusted, [now](const FleetBackend* each) {
+    return now < each->paused_until;
+  });
   const std::size_t at_limit =
       std::erase_if(trusted, [this, now](const FleetBackend* each) {
         return !this->IsWithinRateLimit(*each, now);
@@ -186,8 +189,8 @@
     }
   }
   return this->PickCheapest(
-      this->SelectWithinRateLimits(this->SelectTrusted(in_service, now), now),
-      request, now);
+      this->SelectReceptive(this->SelectTrusted(in_service, now), now), request,
+      now);
 }
 
 FleetBackend* FleetPool::PickProbe(const Candidates& usable, TimePoint now) {
@@ -196,6 +199,7 @@
     if (backend->shared.IsSuspect(now) && backend->next_probe <= now &&
         backend->InFlight() == 0 && !this->IsFull(*backend, now) &&
         this->IsWithinRateLimit(*backend, now) &&
+        now >= backend->paused_until &&
         (due == nullptr || backend->next_probe < due->next_probe)) {
       due = backend;
     }
@@ -492,6 +496,31 @@
   }
 }
 
+void FleetPool::OnPause(PooledBackend& pooled, Duration pause, TimePoint now) {
+  auto& backend = static_cast<FleetBackend&>(pooled);
+  backend.paused_until = std::max(backend.paused_until, now + pause);
+  LogEvent("backend_paused")
+      .With("service", this->service)
+      .With("backend_server", backend.server.id)
+      .With(
+          "ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(pause).count());
+}
+
+std::optional<Duration> FleetPool::PauseLeft(
+    const std::vector<BackendId>& excluded,
+    TimePoint now) const {
+  std::optional<Duration> left;
+  for (const FleetBackend* backend : this->SelectInService(excluded)) {
+    if (now >= backend->paused_until) {
+      return std::nullopt;
+    }
+    const Duration each = backend->paused_until - now;
+    left = std::min(left.value_or(each), each);
+  }
+  return left;
+}
+
 void FleetPool::LogRateLimit(const FleetBackend& backend, double rate) const {
   LogEvent(rate > 0 ? "rate_limit_named" : "rate_limit_ended")
       .With("service", this->service)
@@ -541,6 +570,7 @@
   }
   load.requests_per_slot /= std::max(slots, 1.0);
   load.rate_limit_wait = rate_limit_wait.value_or(Duration{});
+  load.pause_wait = this->PauseLeft({}, now).value_or(Duration{});
   return load;
 }
 
@@ -660,6 +690,9 @@
     text << ",suspicion:" << backend.shared.Suspicion(now)
          << ",seen_by:" << backend.suspected_by;
   }
+  if (now < backend.paused_until) {
+    text << ",paused";
+  }
   if (backend.rate_limit.IsActive(now)) {
     text << ",rate_limit:" << backend.rate_limit.Rate(now)
          << ",allowance:" << backend.rate_limit.Level(now);
@@ -673,6 +706,7 @@
     std::ostringstream line;
     line << backend->server.id.Value() << " "
          << (backend->leaving || backend->reported_leaving ? "leaving"
+             : now < backend->paused_until                 ? "paused"
              : backend->shared.IsSuspect(now)              ? "suspect"
                                                            : "in service")
          << " suspicion=" << backend->shared.Suspicion(now)
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -54,6 +54,8 @@
   // It announced to this entry that it is leaving, which has not been sent to
   // the other entries yet.
   bool has_unsent_leaving = false;
+  // Until this time it wants no requests from this entry.
+  TimePoint paused_until{};
   // Attempts started since the last TakeEvidence.
   std::uint32_t started = 0;
   // The entry whose evidence made it a suspect.
@@ -106,6 +108,9 @@
                                   TimePoint now) const override;
   Duration MedianLatency(const Work& work) const override;
   void OnLeavingReported(PooledBackend& backend, TimePoint now) override;
+  void OnPause(PooledBackend& backend, Duration pause, TimePoint now) override;
+  std::optional<Duration> PauseLeft(const std::vector<BackendId>& excluded,
+                                    TimePoint now) const override;
   std::optional<TimePoint> NextReopenTime(TimePoint /*now*/) const override {
     return std::nullopt;
   }
@@ -135,7 +140,7 @@
   // below the service's floor.
   bool IsBelowFloor(const Candidates& usable, TimePoint now) const;
   Candidates SelectTrusted(Candidates usable, TimePoint now) const;
-  Candidates SelectWithinRateLimits(Candidates trusted, TimePoint now) const;
+  Candidates SelectReceptive(Candidates trusted, TimePoint now) const;
   FleetBackend* PickCheapest(const Candidates& among,
                              const PickRequest& request,
                              TimePoint now);
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -193,8 +193,11 @@
   const auto& head = this->parser->get();
   const Dialect& dialect = this->context.dialect;
   this->leaving = dialect.announces_leaving(head);
-  const BackendNotice notice{this->leaving};
-  if (notice.leaving) {
+  BackendNotice notice{this->leaving};
+  if (dialect.read_pause) {
+    notice.pause = dialect.read_pause(head);
+  }
+  if (notice.leaving || notice.pause) {
     this->owner.OnBackendNotice(*this, notice);
   }
   this->load = dialect.parse_load(head[dialect.load]);
--- a/src/retry_after.cc
+++ b/src/retry_after.cc
@@ -16,10 +16,16 @@
 // times the estimate.
 constexpr double kMinWaitFactor = 0.5;
 constexpr double kWaitFactorSpread = 1.0;
+// Callers that wait for the end of a pause return within this time after it.
+constexpr std::chrono::duration<double> kPauseSpread(1);
 
 }  // namespace
 
 Duration RetryAfter(const ServiceLoad& load, double draw) {
+  if (load.pause_wait > Duration{}) {
+    return load.pause_wait +
+           std::chrono::duration_cast<Duration>(draw * kPauseSpread);
+  }
   if (load.typical_latency == Duration{}) {
     return kDefaultRetryAfter;
   }
--- a/src/retry_after.h
+++ b/src/retry_after.h
@@ -20,6 +20,9 @@
   // Time until a backend server may get a request again when all are at the
   // rate limits that they named; otherwise zero.
   Duration rate_limit_wait{};
+  // Time until the first backend server takes requests again when all have
+  // asked for a pause; otherwise zero.
+  Duration pause_wait{};
 };
 
 // Used while the load of the service is unknown.
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -514,6 +514,52 @@
   CHECK_FALSE(f.pool.HasAlternative({}));
 }
 
+// Guards BUDGET: a backend server that asked for a pause got more requests.
+TEST_CASE("a backend server gets no requests in a pause that it asked for") {
+  PoolFixture f;
+  PooledBackend* paused = f.Pick(false);
+  const BackendId id = paused->server.id;
+  f.pool.OnPause(*paused, seconds(5), f.now);
+  f.pool.OnPause(*paused, seconds(1), f.now);
+  CHECK_FALSE(f.pool.PauseLeft({}, f.now));
+  const auto is_used = [&] {
+    bool used = false;
+    for (int i = 0; i < 200; ++i) {
+      used = used || f.Pick(false)->server.id == id;
+      used = used || f.Pick(true)->server.id == id;
+    }
+    return used;
+  };
+  for (const int after_ms : {0, 1000, 4999}) {
+    f.now += milliseconds(after_ms);
+    CHECK_FALSE(is_used());
+    // Neither a suspect's probe nor a service below its floor goes there.
+    f.ReportOutcomes(std::stoi(id.Value().substr(1)), 0, 1);
+    CHECK_FALSE(is_used());
+    f.now -= milliseconds(after_ms);
+  }
+  f.now += seconds(5);
+  f.ReportOutcomes(std::stoi(id.Value().substr(1)), 9, 0);
+  CHECK(is_used());
+}
+
+TEST_CASE("when all pause, callers return after the first of them does") {
+  PoolFixture f;
+  for (int i = 0; i < 6; ++i) {
+    f.pool.OnPause(*f.Pick(false), seconds(10 + i), f.now);
+  }
+  CHECK(f.Pick(true) == nullptr);
+  CHECK(f.pool.AllAtRateLimit({}, f.now));
+  CHECK(f.pool.PauseLeft({}, f.now) == seconds(10));
+  const auto load = f.pool.Load(f.MakeWork(true), f.now);
+  REQUIRE(load);
+  CHECK(RetryAfter(*load, 0) == seconds(10));
+  CHECK(RetryAfter(*load, 0.5) == milliseconds(10500));
+  f.now += seconds(10);
+  CHECK(f.Pick(true) != nullptr);
+  CHECK_FALSE(f.pool.PauseLeft({}, f.now));
+}
+
 TEST_CASE("the late threshold follows the route's median latency") {
   PoolFixture f;
   const Work work = f.MakeWork(true);
--- a/test/correctness/host_decoders_test.cc
+++ b/test/correctness/host_decoders_test.cc
@@ -194,6 +194,43 @@
   CHECK(dialect.announces_leaving(head));
 }
 
+TEST_CASE("how long a backend server that turns work away wants none") {
+  const Dialect dialect = HostDialect();
+  const auto pause = [&](const std::vector<std::string>& values,
+                         unsigned status = 503) {
+    http::response_header<> head;
+    head.result(status);
+    for (const std::string& value : values) {
+      head.insert(http::field::retry_after, value);
+    }
+    return dialect.read_pause(head);
+  };
+  CHECK(pause({"5"}) == milliseconds(5000));
+  CHECK(pause({"0.25"}) == milliseconds(250));
+  CHECK(pause({"1", "3", "2"}) == milliseconds(3000));
+  CHECK(pause({"x", "3"}) == milliseconds(3000));
+  CHECK(pause({"99999"}) == std::chrono::minutes(10));
+  CHECK(pause({"1" + std::string(300, '0')}) == std::chrono::minutes(10));
+  const std::vector<std::string> none{"0",
+                                      "-1",
+                                      "",
+                                      "1,2",
+                                      "3s",
+                                      "+3",
+                                      "1e3",
+                                      "nan",
+                                      "inf",
+                                      "0x10",
+                                      "Sat, 05 Dec 2026 04:00:00 GMT"};
+  for (const std::string& text : none) {
+    INFO(text);
+    CHECK_FALSE(pause({text}));
+  }
+  CHECK_FALSE(pause({}));
+  CHECK_FALSE(pause({"5"}, 429));
+  CHECK_FALSE(pause({"5"}, 200));
+}
+
 TEST_CASE("base64 both ways") {
   for (const std::string& text :
        std::vector<std::string>{"", "a", "ab", "abc", std::string("\0x", 2)}) {
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -455,6 +455,36 @@
   }
 }
 
+// Guards BUDGET: requests went on to a backend server that had turned one away
+// and asked for a pause.
+TEST_CASE("requests go to no backend server in a pause that it asked for") {
+  std::mutex mutex;
+  std::map<std::string, int> arrived;
+  std::atomic<bool> all_pause{false};
+  HostFixture f([&](TextStream& stream, const std::string& request) {
+    const std::lock_guard lock(mutex);
+    const std::string name = Field(request, "X-Acaciaswitch-Expected-Instance");
+    ++arrived[name];
+    return stream.Send(
+        name == "i-1" || all_pause
+            ? "HTTP/1.1 503 Full\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+              "X-Acaciaswitch-Not-Executed: 1\r\nRetry-After: 60\r\n"
+              "Content-Length: 0\r\n\r\n"
+            : SignedAnswer("abc", "body"));
+  });
+  for (int i = 0; i < 30; ++i) {
+    CHECK(StatusOf(f.RoundTrip(i % 2 == 0 ? kGet : kPost)) == 200);
+  }
+  CHECK(arrived["i-1"] == 1);
+  all_pause = true;
+  f.RoundTrip(kPost);
+  const int before = arrived["i-1"] + arrived["i-2"];
+  const std::string answer = f.RoundTrip(kPost);
+  CHECK(StatusOf(answer) == 503);
+  CHECK(std::stod(Field(answer, "Retry-After")) > 50);
+  CHECK(arrived["i-1"] + arrived["i-2"] == before);
+}
+
 TEST_CASE("an older configuration does not replace a newer one") {
   HostFixture f([](TextStream& stream, const std::string&) {
     return stream.Send(SignedAnswer("abc", "body"));
