Treat a trailing slash as part of a route's prefix

Cause: prefixes and paths were compared without their trailing slashes. Failing before: router_test 'a trailing slash is part of a route's prefix' ("late" == "slots") and 'the router finds the same routes as a plain comparison'. Change: prefixes are kept as they are written, and a prefix matches where it ends with a slash or at the end of a segment. The second test compares the router with a plain matcher over generated routes, hosts and paths.

--- a/src/router.cc
+++ b/src/router.cc
@@ -7,13 +7,6 @@
 namespace acacia {
 namespace {
 
-std::string_view WithoutTrailingSlash(std::string_view path) {
-  while (path.size() > 1 && path.back() == '/') {
-    path.remove_suffix(1);
-  }
-  return path;
-}
-
 std::string HostKey(std::string_view host) {
   const std::size_t colon = host.rfind(':');
   std::string key(colon == std::string_view::npos ? host
@@ -32,15 +25,11 @@
          route.methods.end();
 }
 
-// "/a/b" -> "/a" -> "/" -> "".
-std::string_view ParentPrefix(std::string_view prefix) {
-  if (prefix == "/") {
-    return "";
-  }
-  const std::size_t slash = prefix.rfind('/');
-  return slash == 0 || slash == std::string_view::npos
-             ? "/"
-             : prefix.substr(0, slash);
+// Whether a route with this prefix takes the path: the prefix ends with a slash
+// or at the end of a segment of the path. `path` begins with `prefix`.
+bool EndsSegment(std::string_view prefix, std::string_view path) {
+  return prefix.size() == path.size() || prefix.ends_with('/') ||
+         path[prefix.size()] == '/';
 }
 
 }  // namespace
@@ -48,8 +37,7 @@
 Router::Router(const Configuration& configuration) {
   for (const Route& route : configuration.routes) {
     ByPrefix& by_prefix = this->by_host[HostKey(route.host)];
-    const std::string prefix(WithoutTrailingSlash(route.path_prefix));
-    by_prefix[prefix].push_back(&route);
+    by_prefix[route.path_prefix].push_back(&route);
   }
 }
 
@@ -81,8 +69,11 @@
     std::string_view path,
     std::string_view method) const {
   ErrorKind error = ErrorKind::kNoRoute;
-  for (std::string_view prefix = WithoutTrailingSlash(path); !prefix.empty();
-       prefix = ParentPrefix(prefix)) {
+  for (std::size_t size = path.size(); size > 0; --size) {
+    const std::string_view prefix = path.substr(0, size);
+    if (!EndsSegment(prefix, path)) {
+      continue;
+    }
     const auto found = by_prefix.find(prefix);
     if (found == by_prefix.end()) {
       continue;
--- a/src/router.h
+++ b/src/router.h
@@ -1,7 +1,8 @@
 // Finds the route for a request. Routes for the exact host precede routes for
 // any host; among them, the longest path prefix that ends at a segment boundary
-// matches. A lookup takes one hash probe per path segment, independent of the
-// number of routes.
+// matches. A trailing slash is part of the prefix: "/a/" takes "/a/b" but not
+// "/a". Paths are compared byte by byte. A lookup takes at most two hash probes
+// per path segment, independent of the number of routes.
 #ifndef SRC_ROUTER_H_
 #define SRC_ROUTER_H_
 
