Remove backend servers that went while an entry had lost the store alone

Cause: a removal learned while the store was unavailable was put off until the store had been back for a while, but the time was set only after an outage of a second or more that others had too. After any other it stayed at "never", and no further change of the row was to come. Failing before: backend_registry_test 'what others tell was removed stays removed when the store returns', for cuts of 0.3 s and 4 s. Change: when the store is back, what went missing meanwhile is removed, at once unless there was an outage.

--- a/src/backend_registry.cc
+++ b/src/backend_registry.cc
@@ -107,11 +107,15 @@
   }
   const bool outage =
       now - this->store_lost_at >= kMinOutage && !this->is_own_outage;
-  if (available && !this->available && outage) {
-    this->store_returned_at = now;
+  if (available && !this->available) {
+    // Without an outage nothing expired, so what went missing has left.
+    const TimePoint removal_at = outage ? now + kReregistrationTime : now;
+    if (outage) {
+      this->store_returned_at = now;
+    }
     for (auto& [name, tracked] : this->tracked) {
       if (tracked.removal_at) {
-        tracked.removal_at = now + kReregistrationTime;
+        tracked.removal_at = std::min(*tracked.removal_at, removal_at);
       }
     }
   }
--- a/test/correctness/backend_registry_test.cc
+++ b/test/correctness/backend_registry_test.cc
@@ -93,6 +93,20 @@
   CHECK_FALSE(f.Has("a"));
 }
 
+// Guards DRAIN: one that was removed while this entry alone had lost the store
+// for a moment was used for good.
+TEST_CASE("what others tell was removed stays removed when the store returns") {
+  for (const auto cut : {milliseconds(300), milliseconds(4000)}) {
+    RegistryFixture f;
+    f.registry.OnStoreAvailable(false, f.now);
+    f.registry.Remove("a", f.now);
+    f.now += cut;
+    f.registry.OnPeerHasNewerRegistration(f.now);
+    f.registry.OnStoreAvailable(true, f.now);
+    CHECK_FALSE(f.Has("a"));
+  }
+}
+
 TEST_CASE("one that was leaving is gone also in an outage") {
   RegistryFixture f;
   RegisteredBackend leaving = RegistryFixture::Backend("a");
