Never let the end of an entry look like the end of an answer

Cause: such an answer was relayed until the close of the connection, and the kernel closes the connections of a process that ends in the same way. Failing before: proxy_streaming_test 'the end of the entry is never the end of an answer', and 'chunked bodies go both ways, also for answers without a length'. The latter replaces 'chunked bodies go both ways, and an answer ends with its stream': it holds the old form for HTTP/1.0 callers, checks the new one for others, and that the connection remains usable. Change: answers of unknown length go in chunks to every HTTP/1.1 caller. For an older one the socket is set to reset on close until the answer is complete, so that the kernel resets it however the process ends.

--- a/src/caller_connection.cc
+++ b/src/caller_connection.cc
@@ -149,9 +149,13 @@
   this->socket.close(ignored);
 }
 
-void CallerConnection::Reset() {
+void CallerConnection::SetResetOnClose(bool enabled) {
   boost::system::error_code ignored;
-  this->socket.set_option(net::socket_base::linger(true, 0), ignored);
+  this->socket.set_option(net::socket_base::linger(enabled, 0), ignored);
+}
+
+void CallerConnection::Reset() {
+  this->SetResetOnClose(true);
   this->Close();
 }
 
--- a/src/caller_connection.h
+++ b/src/caller_connection.h
@@ -82,6 +82,9 @@
 
   // Closes the connection at once; pending operations fail.
   void Close();
+  // While set, the connection ends with a TCP reset, also when the process
+  // ends.
+  void SetResetOnClose(bool enabled);
   // Closes the connection with a TCP reset, so that the caller cannot take a
   // truncated answer that ends with the connection for a complete one.
   void Reset();
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -228,16 +228,17 @@
     answer.erase(name);
   }
   answer.version(11);
-  // An answer of unknown length is sent in chunks if later requests wait for
-  // answers on the connection; otherwise closing the connection ends it.
+  // An answer of unknown length is sent in chunks. To a caller that does not
+  // know these, only closing the connection can end it.
   const bool whole =
       this->has_no_body || (this->buffered_body && this->parser->is_done());
-  const bool must_chunk =
-      this->parser->need_eof() && this->owner.MustKeepOpen();
-  const bool in_chunks =
-      !whole && !this->exchange.caller_is_http10 && (chunked || must_chunk);
-  this->ends_with_close =
-      !whole && !in_chunks && (this->parser->need_eof() || chunked);
+  const bool has_unknown_length =
+      !whole && (this->parser->need_eof() || chunked);
+  const bool in_chunks = has_unknown_length && !this->exchange.caller_is_http10;
+  this->ends_with_close = has_unknown_length && !in_chunks;
+  if (this->ends_with_close) {
+    this->owner.Caller().SetResetOnClose(true);
+  }
   if (in_chunks) {
     answer.set(http::field::transfer_encoding, "chunked");
   }
@@ -352,6 +353,9 @@
 
 void ProxyAttempt::FinishRelay(bool whole) {
   this->relay_complete = whole;
+  if (whole && this->ends_with_close) {
+    this->owner.Caller().SetResetOnClose(false);
+  }
   if (!whole) {
     this->final_result = AttemptResult::kCancelled;
     this->owner.OnCallerFailed(BodyError::kClosed);
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -110,8 +110,6 @@
   virtual void OnCallerFailed(BodyError error) = 0;
   // The caller's connection must be closed after this answer.
   virtual bool MustClose() const = 0;
-  // Later requests of the connection have been read and must be answered on it.
-  virtual bool MustKeepOpen() const = 0;
   // Called before writing an answer after which the connection is closed.
   virtual void OnClosingAnswer() = 0;
   // Waits until all earlier requests of the connection have been answered.
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -64,7 +64,8 @@
                        const BackendNotice& notice) override;
   void OnAttemptEnd(ProxyAttempt& attempt, AttemptResult result) override;
   bool MustClose() const override;
-  bool MustKeepOpen() const override;
+  // Later requests of the connection have been read and must be answered on it.
+  bool MustKeepOpen() const;
   void OnClosingAnswer() override;
   boost::asio::awaitable<bool> AwaitTurn() override;
   bool IsTurn() const override;
--- a/test/correctness/proxy_streaming_test.cc
+++ b/test/correctness/proxy_streaming_test.cc
@@ -31,7 +31,7 @@
   CHECK(fixture.backend.Accepted() == 1);
 }
 
-TEST_CASE("chunked bodies go both ways, and an answer ends with its stream") {
+TEST_CASE("chunked bodies go both ways, also for answers without a length") {
   ProxyFixture fixture([](TextStream& stream, const std::string& request) {
     if (request.starts_with("GET")) {
       stream.Send("HTTP/1.1 200 OK\r\n\r\nto the end");
@@ -46,12 +46,45 @@
       "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
       "2\r\nxy\r\n1\r\nz\r\n0\r\n\r\n");
   CHECK(BodyOf(caller.ReadUntil("0\r\n\r\n")) == "3\r\nabc\r\n0\r\n\r\n");
-  caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
-  const std::string last = caller.ReadToEnd();
+  for (int i = 0; i < 2; ++i) {
+    caller.Send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    const std::string answer = caller.ReadUntil("0\r\n\r\n");
+    CHECK(BodyOf(answer) == "a\r\nto the end\r\n0\r\n\r\n");
+    CHECK(Field(answer, "Transfer-Encoding") == "chunked");
+    CHECK(Field(answer, "Connection").empty());
+  }
+  // A caller that does not know chunks.
+  TextStream older = fixture.Connect();
+  older.Send("GET / HTTP/1.0\r\nHost: x\r\nConnection: keep-alive\r\n\r\n");
+  const std::string last = older.ReadToEnd();
+  CHECK_FALSE(older.WasReset());
   CHECK(BodyOf(last) == "to the end");
   CHECK(Field(last, "Connection") == "close");
 }
 
+// Guards MIXED: an answer without a length that the end of the entry cut short
+// looked complete.
+TEST_CASE("the end of the entry is never the end of an answer") {
+  for (const std::string version : {"1.1", "1.0"}) {
+    INFO(version);
+    ProxyFixture fixture([](TextStream& stream, const std::string&) {
+      stream.Send("HTTP/1.1 200 OK\r\n\r\nthe beginning");
+      stream.ReadToEnd();
+      return false;
+    });
+    fixture.Start();
+    TextStream caller = fixture.Connect();
+    caller.Send("GET / HTTP/" + version + "\r\nHost: x\r\n\r\n");
+    caller.ReadUntil("the beginning");
+    fixture.entry.reset();
+    const std::string rest = caller.ReadToEnd();
+    const bool is_marked = version == "1.1"
+                               ? rest.find("0\r\n\r\n") == std::string::npos
+                               : caller.WasReset();
+    CHECK(is_marked);
+  }
+}
+
 TEST_CASE("hop-by-hop and Acacia headers are not forwarded") {
   std::string seen;
   ProxyFixture fixture([&](TextStream& stream, const std::string& request) {
