Bound chunk headers and trailers without end

Cause: the parser waits for the end of a chunk header or trailer and takes nothing until then, and nothing bounded what was read for it. Failing before: host_proxy_test 'endless bytes that are no answer end the attempt early' with three further beginnings (chunk size, extension, trailer): 504 == 502 after 5.2 s, the caller's deadline. 'an endless chunk header of a caller is refused' guards the other side. Change: a body's reader refuses once 64 KiB wait that its parser takes nothing of. All bodies are read there: answers, skipped answers and requests.

--- a/src/message_reader.h
+++ b/src/message_reader.h
@@ -25,6 +25,10 @@
 // each idle connection keeps a buffer of this size.
 inline constexpr std::size_t kMaxRequestHeadReadBytes = 2 * 1024;
 
+// A body's parser leaves at most this many bytes unparsed: a longer chunk
+// header or trailer is refused.
+inline constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+
 template <bool kIsRequest>
 using MessageParser =
     boost::beast::http::parser<kIsRequest, boost::beast::http::buffer_body>;
@@ -81,7 +85,8 @@
 }
 
 // Reads at least one byte of the body, or none if the message is complete. The
-// error is `partial_message` if the stream ends before the message does.
+// error is `partial_message` if the stream ends before the message does, and
+// `buffer_overflow` if the parser takes none of kMaxUnparsedBytes.
 template <bool kIsRequest>
 boost::asio::awaitable<BodyReadResult> ReadSomeBody(
     boost::asio::ip::tcp::socket& socket,
@@ -94,6 +99,10 @@
     if (piece.error != http::error::need_more) {
       co_return piece;
     }
+    if (buffer.size() >= kMaxUnparsedBytes) {
+      piece.error = http::error::buffer_overflow;
+      co_return piece;
+    }
     const auto error = co_await FillBuffer(socket, buffer, kMaxReadBytes);
     if (error == boost::asio::error::eof) {
       piece.error = {};
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -312,6 +312,9 @@
       "HTTP/1.1 200 OK\r\nX-Acaciaswitch-Request-Id: other\r\n"
       "X-Acaciaswitch-Response-Signature: s\r\nTransfer-Encoding: chunked"
       "\r\n\r\n";
+  const std::string own_head = SignedAnswer("abc", "").replace(
+      SignedAnswer("abc", "").find("Content-Length: 0"), 17,
+      "Transfer-Encoding: chunked");
   struct Case {
     std::string beginning;
     std::string rest;
@@ -322,7 +325,11 @@
       {"", rest},
       {"HTTP/1.1 200 OK\r\nX-Long: ", rest},
       {"HTTP/1.1 200 OK\r\n", "X-More: " + rest + "\r\n"},
-      {foreign_head, "1000\r\n" + rest + "\r\n"}};
+      {foreign_head, "1000\r\n" + rest + "\r\n"},
+      // An endless chunk size, chunk extension and trailer.
+      {own_head, std::string(4096, '0')},
+      {own_head + "1;x=", rest},
+      {own_head + "0\r\nX-Long: ", rest}};
   for (const Case& each : cases) {
     INFO(each.beginning);
     HostFixture f(EndlessAnswer(each.beginning, each.rest));
@@ -336,6 +343,25 @@
   }
 }
 
+TEST_CASE("an endless chunk header of a caller is refused") {
+  HostFixture f([](TextStream& stream, const std::string&) {
+    return stream.Send(SignedAnswer("abc", "body"));
+  });
+  for (const std::string beginning : {"", "1;x="}) {
+    TextStream caller = f.Connect();
+    caller.Send(
+        "POST /b/x HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+        beginning);
+    const std::string piece(4096, '0');
+    std::size_t sent = 0;
+    while (sent < 64 * 1024 * 1024 && caller.Send(piece)) {
+      sent += piece.size();
+    }
+    CHECK(sent < 64 * 1024 * 1024);
+  }
+}
+
 TEST_CASE("an error with an endless body is relayed until the caller leaves") {
   std::atomic<bool> ended{false};
   HostFixture f([&](TextStream& stream, const std::string&) {
