Give uploads their final answer at the deadline

Failing before: host_proxy_test 'an upload that is not read in time gets its final answer': more than 4 s with a deadline of 0.6 s. Change: on the users' platform the exchange itself ends such a request at its deadline, with the answer that says what is known of it, or by breaking off an answer that has begun. Elsewhere uploads go on while they make progress, as docs/CALLERS.md promises.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -164,6 +164,7 @@
           service, acacia::FailureDomain(domain), random);
     };
     policy.close_while_leaving = true;
+    policy.deadline_bounds_uploads = true;
     policy.max_stop_duration =
         std::chrono::duration_cast<acacia::Duration>(
             std::chrono::duration<double>(settings.host_platform->grace_s)) -
--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -94,6 +94,8 @@
   const std::string request_id_prefix;
   // Connections close after their answer already in phase kLeaving.
   bool close_while_leaving = false;
+  // See EntryPolicy.
+  bool deadline_bounds_uploads = false;
   std::atomic<EntryPhase> phase{EntryPhase::kServing};
   std::atomic<std::uint32_t> connections{0};
   // Requests whose head has been read and whose answer has not ended.
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -128,6 +128,7 @@
                        this->MakeLinkHooks());
   }
   this->context.close_while_leaving = this->policy.close_while_leaving;
+  this->context.deadline_bounds_uploads = this->policy.deadline_bounds_uploads;
   this->self.instance = InstanceId(settings.instance);
   this->self.caller_address = AdvertisedAddress(settings);
   this->self.failure_domain = FailureDomain(settings.failure_domain);
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -29,6 +29,9 @@
   // Answers carry "Connection: close" as soon as the shutdown begins, not only
   // once the entry accepts no more connections.
   bool close_while_leaving = false;
+  // The deadline also ends requests of the short class whose body is still
+  // being sent. Otherwise these go on while they make progress.
+  bool deadline_bounds_uploads = false;
   // The shutdown ends after this time even if connections are still open; zero:
   // no limit.
   Duration max_stop_duration{};
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -75,7 +75,7 @@
 // deadline has passed, OnWatchdog arms it again, so most requests do not touch
 // the timer.
 void ProxyExchange::ArmWatchdog() {
-  TimePoint next = this->start_deadline;
+  TimePoint next = std::min(this->start_deadline, this->upload_deadline);
   for (const auto& attempt : this->attempts) {
     next = std::min(next, attempt->ProgressDeadline());
   }
@@ -100,6 +100,10 @@
     this->start_deadline = TimePoint::max();
     this->OnStartDeadline();
   }
+  if (this->upload_deadline <= now) {
+    this->upload_deadline = TimePoint::max();
+    this->OnUploadDeadline();
+  }
   for (const auto& attempt : this->attempts) {
     if (attempt->ProgressDeadline() <= now) {
       attempt->OnProgressTimeout();
@@ -117,6 +121,16 @@
   this->ReportCallerLeft();
 }
 
+// Ends the request with its final answer or, if an answer is being relayed,
+// breaks it off.
+void ProxyExchange::OnUploadDeadline() {
+  if (!this->exchange || !this->service || this->IsOver()) {
+    return;
+  }
+  this->refusal = ErrorKind::kBackendTimeout;
+  this->ReportCallerLeft();
+}
+
 void ProxyExchange::ReportCallerLeft() {
   this->service->HandleEvent(
       [this](Dispatcher& dispatcher, TimePoint now) {
@@ -153,6 +167,7 @@
   }
   this->context.registry.Remove(id);
   this->start_deadline = TimePoint::max();
+  this->upload_deadline = TimePoint::max();
   if (!this->allows_pipelining) {
     this->caller.StopWatching();
   }
@@ -178,7 +193,8 @@
 // The dispatcher cancels attempts at the deadline, which must not happen to
 // long work or while a body is still being sent. For these the dispatcher gets
 // a deadline of kUnboundedWorkDeadline; the exchange bounds the wait for a
-// slot, and the attempt bounds the wait for the answer.
+// slot and, where the policy says so, the whole upload, and the attempt bounds
+// the wait for the answer.
 void ProxyExchange::PrepareWork() {
   Exchange& request = *this->exchange;
   const std::string_view host = request.head[boost::beast::http::field::host];
@@ -191,6 +207,11 @@
   request.work.deadline =
       unbounded ? this->start_time + kUnboundedWorkDeadline : request.deadline;
   this->start_deadline = unbounded ? request.deadline : TimePoint::max();
+  const bool is_short_upload =
+      request.work.work_class == WorkClass::kShort && !request.body_complete;
+  if (is_short_upload && this->context.deadline_bounds_uploads) {
+    this->upload_deadline = request.deadline;
+  }
   this->ArmWatchdog();
 }
 
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -94,6 +94,7 @@
   void PrepareWork();
   void AllowPipelining();
   void OnStartDeadline();
+  void OnUploadDeadline();
   void ReportCallerLeft();
   bool IsOver() const;
   void ProcessActions();
@@ -118,6 +119,8 @@
   TimePoint watchdog_expiry = TimePoint::max();
   // Time by which an attempt must have started.
   TimePoint start_deadline = TimePoint::max();
+  // Time by which a request must have ended that the dispatcher does not end.
+  TimePoint upload_deadline = TimePoint::max();
 
   // Set once the request is routed.
   std::optional<Exchange> exchange;
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -36,6 +36,7 @@
     this->settings.buffered_answer_bytes = 65536;
     EntryPolicy policy;
     policy.dialect = platform::HostDialect();
+    policy.deadline_bounds_uploads = true;
     policy.make_chooser = [](const ServiceName& service, const InstanceId&,
                              RandomSource& random) {
       return std::make_unique<FleetPool>(service, FailureDomain("a"), random);
@@ -69,7 +70,7 @@
     route.path_prefix = "/b/";
     route.service = service.name;
     route.max_attempts = 2;
-    route.max_body_bytes = 1000;
+    route.max_body_bytes = this->max_body_bytes;
     route.idempotency = Idempotency::kByMethod;
     configuration->services.emplace(service.name, service);
     configuration->routes.push_back(route);
@@ -77,6 +78,7 @@
   }
 
   Generation generation{3};
+  std::uint64_t max_body_bytes = 1000;
 };
 
 // A listener whose accept queue is full, so that connecting to it never
@@ -343,6 +345,40 @@
   }
 }
 
+// Guards CONFIG: an upload to a slow backend server had no answer at the
+// route's time limit.
+TEST_CASE("an upload that is not read in time gets its final answer") {
+  std::promise<void> go_on;
+  auto released = go_on.get_future().share();
+  ThreadedListener server([&](TextStream& stream) {
+    stream.Socket().set_option(
+        boost::asio::socket_base::receive_buffer_size(16 * 1024));
+    stream.ReadUntil("\r\n\r\n");
+    released.wait();
+  });
+  HostFixture f([](TextStream&, const std::string&) { return false; });
+  constexpr std::size_t kUpload = 64 * 1024 * 1024;
+  f.max_body_bytes = kUpload;
+  f.Apply({server.Address(), server.Address()});
+  TextStream caller = f.Connect();
+  const auto began = std::chrono::steady_clock::now();
+  caller.Send(
+      "POST /b/x HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+      "X-Acaciaswitch-Deadline-Ms: 600\r\nContent-Length: " +
+      std::to_string(kUpload) + "\r\n\r\n");
+  std::thread sender([&caller] {
+    const std::string piece(64 * 1024, 'a');
+    for (std::size_t sent = 0; sent < kUpload && caller.Send(piece);
+         sent += piece.size()) {
+    }
+  });
+  CHECK(StatusOf(caller.ReadMessage()) == 504);
+  // The backend server's progress time-out is five seconds.
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(4));
+  sender.join();
+  go_on.set_value();
+}
+
 TEST_CASE("an endless chunk header of a caller is refused") {
   HostFixture f([](TextStream& stream, const std::string&) {
     return stream.Send(SignedAnswer("abc", "body"));
