Let ended quarantines of requests not stand in the way of new ones

An entry that had heard of 16 quarantines would not adopt another until the records of the earlier ones had expired, although they no longer held; and a heartbeat that lists released ones could leave out one in force. Guarded by 'quarantines that have ended do not keep others from being adopted' (request_quarantine_test). Also from reading the diff: one function ends a request at either deadline, the lock order names the quarantine, and the head comment says how soon an answer refutes a crash.

--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -98,11 +98,11 @@
   const TimePoint now = this->context.clock.Now();
   if (this->start_deadline <= now) {
     this->start_deadline = TimePoint::max();
-    this->OnStartDeadline();
+    this->EndAtDeadline(ErrorKind::kDeadlineTooShort);
   }
   if (this->upload_deadline <= now) {
     this->upload_deadline = TimePoint::max();
-    this->OnUploadDeadline();
+    this->EndAtDeadline(ErrorKind::kBackendTimeout);
   }
   for (const auto& attempt : this->attempts) {
     if (attempt->ProgressDeadline() <= now) {
@@ -112,22 +112,13 @@
   this->ArmWatchdog();
 }
 
-// Refuses the request because no attempt started in time.
-void ProxyExchange::OnStartDeadline() {
-  if (!this->exchange || !this->service || this->IsOver()) {
-    return;
-  }
-  this->refusal = ErrorKind::kDeadlineTooShort;
-  this->ReportCallerLeft();
-}
-
 // Ends the request with its final answer or, if an answer is being relayed,
 // breaks it off.
-void ProxyExchange::OnUploadDeadline() {
+void ProxyExchange::EndAtDeadline(ErrorKind kind) {
   if (!this->exchange || !this->service || this->IsOver()) {
     return;
   }
-  this->refusal = ErrorKind::kBackendTimeout;
+  this->refusal = kind;
   this->ReportCallerLeft();
 }
 
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -93,8 +93,7 @@
 
   void PrepareWork();
   void AllowPipelining();
-  void OnStartDeadline();
-  void OnUploadDeadline();
+  void EndAtDeadline(ErrorKind kind);
   void ReportCallerLeft();
   bool IsOver() const;
   void ProcessActions();
--- a/src/request_quarantine.cc
+++ b/src/request_quarantine.cc
@@ -141,19 +141,23 @@
 std::vector<schema::QuarantinedRequestT> RequestQuarantine::Quarantines(
     TimePoint now) const {
   const std::lock_guard lock(this->mutex);
-  std::vector<schema::QuarantinedRequestT> all;
+  std::vector<schema::QuarantinedRequestT> in_force;
+  std::vector<schema::QuarantinedRequestT> released;
   for (const RequestFingerprint fingerprint : this->quarantined) {
     const Record& record = this->records.at(fingerprint);
-    if (now >= record.until || all.size() >= kMaxQuarantined) {
+    if (now >= record.until) {
       continue;
     }
-    schema::QuarantinedRequestT& each = all.emplace_back();
+    schema::QuarantinedRequestT& each =
+        (record.released ? released : in_force).emplace_back();
     each.fingerprint = fingerprint.Value();
     each.count = record.count;
     each.began_ms_ago = MillisecondsSince(record.began, now);
     each.released = record.released;
   }
-  return all;
+  in_force.insert(in_force.end(), released.begin(), released.end());
+  in_force.resize(std::min(in_force.size(), kMaxQuarantined));
+  return in_force;
 }
 
 void RequestQuarantine::OnPeerQuarantines(
@@ -170,7 +174,7 @@
     }
     const std::uint32_t known_count = is_known ? found->second.count : 0;
     if (fingerprint == RequestFingerprint() || each.count <= known_count ||
-        this->quarantined.size() >= kMaxQuarantined) {
+        this->CountInForce(now) >= kMaxQuarantined) {
       continue;
     }
     this->MakeRoom(now);
--- a/src/request_quarantine.h
+++ b/src/request_quarantine.h
@@ -1,7 +1,7 @@
 // Detects requests that crash the backend servers that run them, and keeps such
 // requests from further backend servers. A backend server counts as crashed by
 // an attempt whose connection ended before a complete answer, unless it answers
-// a request that begins later. Requests with the same fingerprint are
+// a request that begins soon after. Requests with the same fingerprint are
 // quarantined after kMinCrashes crashes of different backend servers, each of
 // an attempt that began after the crash before: a fault that ends many attempts
 // at once is no sign against a request. Any answer clears a fingerprint.
--- a/src/service_table.h
+++ b/src/service_table.h
@@ -4,7 +4,8 @@
 // order.
 //
 // Lock order: table, then one service, then the request registry, then a
-// session's mailbox. The connection pool's lock is never taken under these.
+// session's mailbox. The lock of the request quarantine is taken under one
+// service's and is a leaf; the connection pool's is never taken under these.
 #ifndef SRC_SERVICE_TABLE_H_
 #define SRC_SERVICE_TABLE_H_
 
--- a/test/correctness/request_quarantine_test.cc
+++ b/test/correctness/request_quarantine_test.cc
@@ -170,6 +170,24 @@
         RequestQuarantine::kMaxQuarantined);
 }
 
+TEST_CASE("quarantines that have ended do not keep others from being adopted") {
+  RequestQuarantine source(Random());
+  RequestQuarantine quarantine(Random());
+  TimePoint now = kStart;
+  std::uint64_t next = 0;
+  for (std::size_t i = 0; i <= RequestQuarantine::kMaxQuarantined; ++i) {
+    const RequestFingerprint fingerprint(++next);
+    for (int backend = 0; backend < RequestQuarantine::kMinCrashes; ++backend) {
+      source.OnBroken(fingerprint, Backend(backend), now, now);
+      now += milliseconds(1);
+    }
+    quarantine.OnPeerQuarantines(source.Quarantines(now), now);
+    CHECK(quarantine.Remaining(fingerprint, now));
+    source.OnAnswered(fingerprint, now);
+    quarantine.OnAnswered(fingerprint, now);
+  }
+}
+
 TEST_CASE("requests with the same content have the same fingerprint") {
   const RequestContent base{"POST", "h", "/a/b?c", "body", 4};
   CHECK(FingerprintOf(base) == FingerprintOf(base));
