Use suspects while all trusted backend servers pause

Traced: one of the two backend servers paused, the other had answered late once and was a suspect. The trusted were chosen first and those that pause left out after, so nobody remained and requests were refused beside a free backend server. Failing before: fleet_pool_test 'while those that are trusted pause, suspects are used' (nullptr != nullptr). Change: those that pause are left out first, so that the least trusted share is taken of what can receive. The floor still counts them.

--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -140,11 +140,8 @@
 
 bool FleetPool::AllAtRateLimit(const std::vector<BackendId>& excluded,
                                TimePoint now) const {
-  Candidates in_service = this->SelectInService(excluded);
-  return !in_service.empty() &&
-         this->SelectReceptive(this->SelectTrusted(std::move(in_service), now),
-                               now)
-             .empty();
+  const Candidates in_service = this->SelectInService(excluded);
+  return !in_service.empty() && this->SelectReceptive(in_service, now).empty();
 }
 
 FleetPool::Candidates FleetPool::SelectInService(
@@ -158,13 +155,21 @@
   return in_service;
 }
 
-// While some backend servers may get no more requests, the requests that they
-// would have received must not all queue at the others.
-FleetPool::Candidates FleetPool::SelectReceptive(Candidates trusted,
+// The backend servers that may get a request now. Those that pause are left out
+// first: where only they are trusted, suspects are used rather than none.
+FleetPool::Candidates FleetPool::SelectReceptive(Candidates in_service,
                                                  TimePoint now) const {
-  std::erase_if(trusted, [now](const FleetBackend* each) {
+  std::erase_if(in_service, [now](const FleetBackend* each) {
     return now < each->paused_until;
   });
+  return this->SelectWithinRateLimits(
+      this->SelectTrusted(std::move(in_service), now), now);
+}
+
+// While some backend servers may get no more requests, the requests that they
+// would have received must not all queue at the others.
+FleetPool::Candidates FleetPool::SelectWithinRateLimits(Candidates trusted,
+                                                        TimePoint now) const {
   const std::size_t at_limit =
       std::erase_if(trusted, [this, now](const FleetBackend* each) {
         return !this->IsWithinRateLimit(*each, now);
@@ -188,9 +193,8 @@
       return probe;
     }
   }
-  return this->PickCheapest(
-      this->SelectReceptive(this->SelectTrusted(in_service, now), now), request,
-      now);
+  return this->PickCheapest(this->SelectReceptive(in_service, now), request,
+                            now);
 }
 
 FleetBackend* FleetPool::PickProbe(const Candidates& usable, TimePoint now) {
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -140,7 +140,8 @@
   // below the service's floor.
   bool IsBelowFloor(const Candidates& usable, TimePoint now) const;
   Candidates SelectTrusted(Candidates usable, TimePoint now) const;
-  Candidates SelectReceptive(Candidates trusted, TimePoint now) const;
+  Candidates SelectWithinRateLimits(Candidates trusted, TimePoint now) const;
+  Candidates SelectReceptive(Candidates in_service, TimePoint now) const;
   FleetBackend* PickCheapest(const Candidates& among,
                              const PickRequest& request,
                              TimePoint now);
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -543,6 +543,21 @@
   CHECK(is_used());
 }
 
+TEST_CASE("while those that are trusted pause, suspects are used") {
+  PoolFixture f;
+  for (int i = 0; i < 5; ++i) {
+    f.pool.OnPause(*f.Pick(false), seconds(60), f.now);
+  }
+  const BackendId last = f.Pick(false)->server.id;
+  f.ReportOutcomes(std::stoi(last.Value().substr(1)), 0, 1);
+  for (const bool idempotent : {true, false}) {
+    PooledBackend* picked = f.Pick(idempotent);
+    REQUIRE(picked != nullptr);
+    CHECK(picked->server.id == last);
+  }
+  CHECK_FALSE(f.pool.AllAtRateLimit({}, f.now));
+}
+
 TEST_CASE("when all pause, callers return after the first of them does") {
   PoolFixture f;
   for (int i = 0; i < 6; ++i) {
