Let a further SIGTERM not end a stop that is bounded

Cause: the second SIGTERM ended the process at once, a way out of a stop that may take any time. On the host platform the stop is bounded, and SIGKILL is the way out. Failing before: integration 'A second SIGTERM in the grace time cuts off no request', no answer, exit code 1. Change: where the stop is bounded a further SIGTERM is logged and ignored. SIGINT and deployments with an agent are unchanged, as documented.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -57,9 +57,10 @@
   return line;
 }
 
-// The first SIGTERM or SIGINT starts the graceful shutdown, the second ends the
-// process at once. SIGHUP or a change of the settings file makes the program
-// read the settings again. Signals that arrive before Start are handled then.
+// The first SIGTERM or SIGINT starts the graceful shutdown. The second ends the
+// process at once, except for a SIGTERM while the shutdown has a time limit.
+// SIGHUP or a change of the settings file makes the program read the settings
+// again. Signals that arrive before Start are handled then.
 class SignalHandler {
  public:
   // Must be constructed before the settings file is read, so that no change of
@@ -74,8 +75,11 @@
   SignalHandler& operator=(const SignalHandler&) = delete;
 
   // `server` and what `reload` uses must live until Stop.
-  void Start(acacia::EntryServer& server, std::function<void()> reload) {
+  void Start(acacia::EntryServer& server,
+             bool is_stop_bounded,
+             std::function<void()> reload) {
     this->server = &server;
+    this->is_stop_bounded = is_stop_bounded;
     this->reload = std::move(reload);
     this->AwaitSignal();
     this->WatchFile();
@@ -133,6 +137,10 @@
       this->reload();
       return;
     }
+    if (this->stopping && signal == SIGTERM && this->is_stop_bounded) {
+      acacia::LogEvent("already_stopping");
+      return;
+    }
     if (this->stopping) {
       acacia::LogEvent("stopped_at_once", acacia::LogSeverity::kWarning)
           .With("exit_code", kExitFailure);
@@ -150,6 +158,7 @@
   const std::string file;
   std::filesystem::file_time_type last_write;
   std::function<void()> reload;
+  bool is_stop_bounded = false;
   bool stopping = false;
   std::thread thread;
 };
@@ -221,7 +230,8 @@
         .With("reason", started.error());
     return kExitFailure;
   }
-  signals.Start(server, [&] { Reload(file, control ? &*control : nullptr); });
+  signals.Start(server, adapter.has_value(),
+                [&] { Reload(file, control ? &*control : nullptr); });
   server.Wait();
   if (control) {
     // Connections that are still open at the end of the grace time would delay
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -65,5 +65,29 @@
   });
 }
 
+// Guards LOST: a second SIGTERM cut off the requests that the first lets end.
+TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
+  std::promise<void> arrived;
+  std::promise<void> work;
+  HostEntry entry([&](TextStream& stream, const std::string& request) {
+    arrived.set_value();
+    work.get_future().wait();
+    return stream.Send(HostEntry::Answer(request));
+  });
+  entry.Start();
+  entry.AwaitReady();
+  TextStream caller = entry.Connect();
+  caller.Send(HostEntry::Head("r1", 2) + "hi");
+  arrived.get_future().wait();
+  for (int i = 0; i < 3; ++i) {
+    entry.process->Signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  }
+  work.set_value();
+  CHECK(StatusOf(caller.ReadMessage()) == 200);
+  caller.Close();
+  CHECK(entry.process->Wait() == 0);
+}
+
 }  // namespace
 }  // namespace acacia
