Keep descriptors free for backend servers and readiness

Cause: the limit of callers' connections did not depend on the descriptors of the process, and the other listeners had none. Failing before: integration 'Idle callers leave descriptors for those that are served', without the division: not ready, 0 == 42. With it: ready, 42 of 42. At its limit a listener closes an idle connection for a new one; callers' connections that never carried a request go first. The small listeners pause before they accept again after an error.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -265,11 +265,14 @@
   }
   const std::string file = line.values["settings"].as<std::string>();
   SignalHandler signals(file);
-  const auto settings = acacia::ReadEntrySettings(file);
+  auto settings = acacia::ReadEntrySettings(file);
   if (!settings) {
     std::cerr << acacia::DescribeAll(settings.error());
     return kExitUsage;
   }
   acacia::StartLogging(argv[0]);
+  if (settings->max_descriptors == 0) {
+    settings->max_descriptors = acacia::DescriptorLimit();
+  }
   return Serve(file, *settings, signals);
 }
--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <mutex>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -23,6 +24,9 @@
 constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
 // Ended sessions are removed from the list whenever it has grown by this many.
 constexpr std::size_t kSessionsPerCleanup = 256;
+// At the limit, this part of the connections is closed if it is idle, and as
+// many may be open beyond the limit until these are closed.
+constexpr std::size_t kEvictionDivisor = 32;
 
 }  // namespace
 
@@ -34,6 +38,7 @@
 
   net::awaitable<void> Accept();
   void StartSession(Tcp::socket socket);
+  bool MakeRoom();
   void ForEach(void (CallerSession::*action)());
 
   net::any_io_executor executor;
@@ -63,8 +68,7 @@
 }
 
 void CallerServer::State::StartSession(Tcp::socket socket) {
-  if (this->context.connections.load() >=
-      this->context.settings.max_caller_connections) {
+  if (!this->MakeRoom()) {
     this->context.metrics.refused_connections->Increment();
     return;
   }
@@ -82,6 +86,44 @@
   this->sessions.push_back(session);
 }
 
+// Closes idle connections if there are too many: first those that were never
+// used, then those that have been idle for longest. Returns false if there is
+// no room for another one.
+bool CallerServer::State::MakeRoom() {
+  const std::size_t limit = this->context.connection_limits.callers;
+  const std::size_t open = this->context.connections.load();
+  if (open < limit) {
+    return true;
+  }
+  const std::size_t batch = std::max<std::size_t>(limit / kEvictionDivisor, 1);
+  struct Candidate {
+    bool was_used;
+    TimePoint idle_since;
+    std::shared_ptr<CallerSession> session;
+  };
+  std::vector<Candidate> idle;
+  {
+    const std::lock_guard lock(this->mutex);
+    for (const auto& weak : this->sessions) {
+      auto session = weak.lock();
+      if (session && session->IdleSince() < TimePoint::max()) {
+        idle.push_back({session->WasUsed(), session->IdleSince(), session});
+      }
+    }
+  }
+  const std::size_t count = std::min(batch, idle.size());
+  std::nth_element(
+      idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count),
+      idle.end(), [](const Candidate& one, const Candidate& other) {
+        return std::tie(one.was_used, one.idle_since) <
+               std::tie(other.was_used, other.idle_since);
+      });
+  for (std::size_t i = 0; i < count; ++i) {
+    idle[i].session->CloseForAnother();
+  }
+  return count > 0 && open < limit + batch;
+}
+
 CallerServer::CallerServer(const net::any_io_executor& executor,
                            EntryContext& context)
     : state(std::make_shared<State>(executor, context)) {}
--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -62,6 +62,11 @@
   });
 }
 
+void CallerSession::CloseForAnother() {
+  this->idle_since = TimePoint::max();
+  this->CloseIfIdle();
+}
+
 void CallerSession::CloseNow() {
   net::post(this->strand, [weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -110,6 +115,8 @@
   }
   const auto head = co_await this->caller.ReadHead();
   this->idle_deadline = TimePoint::max();
+  this->idle_since = TimePoint::max();
+  this->was_used = true;
   if (!head && head.error() == HeadError::kClosed) {
     this->AbortExchanges(BodyError::kClosed);
     co_return false;
@@ -226,6 +233,7 @@
 }
 
 void CallerSession::StartIdleTimeout() {
+  this->idle_since = this->context.clock.Now();
   this->idle_deadline = this->context.IdleDeadline();
   this->ArmWatchdog();
 }
--- a/src/caller_session.h
+++ b/src/caller_session.h
@@ -9,6 +9,7 @@
 #ifndef SRC_CALLER_SESSION_H_
 #define SRC_CALLER_SESSION_H_
 
+#include <atomic>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
@@ -36,6 +37,12 @@
 
   // Closes the connection if it is idle; for an entry that is draining.
   void CloseIfIdle();
+  // The time since which no request has been read; max() while one is served.
+  TimePoint IdleSince() const { return this->idle_since.load(); }
+  // Whether a request has ever been read.
+  bool WasUsed() const { return this->was_used.load(); }
+  // Closes the connection if it is idle. IdleSince is max() from now on.
+  void CloseForAnother();
   // Closes the connection at once and aborts its requests.
   void CloseNow();
   // Refuses the requests that have not been passed on and may no longer be.
@@ -84,6 +91,8 @@
   CallerConnection caller;
   // The unanswered requests, oldest first.
   std::deque<std::shared_ptr<ProxyExchange>> exchanges;
+  std::atomic<TimePoint> idle_since{TimePoint::max()};
+  std::atomic<bool> was_used{false};
   // No further request is read.
   bool closing = false;
   // Never expires; cancelled to wake waiters when `exchanges`, `closing` or the
--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -12,6 +12,7 @@
 #include "src/backend_connection.h"
 #include "src/buffer_budget.h"
 #include "src/clock.h"
+#include "src/connection_limits.h"
 #include "src/dialect.h"
 #include "src/entry_metrics.h"
 #include "src/entry_snapshot.h"
@@ -43,6 +44,8 @@
                std::uint64_t seed,
                Dialect dialect)
       : settings(settings),
+        connection_limits(DivideDescriptors(settings.max_descriptors,
+                                            settings.max_caller_connections)),
         dialect(std::move(dialect)),
         clock(clock),
         services(executor, registry, clock, std::move(factory)),
@@ -102,6 +105,7 @@
   }
 
   const schema::EntrySettingsT settings;
+  const ConnectionLimits connection_limits;
   const Dialect dialect;
   const Clock& clock;
   SnapshotHolder snapshot;
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -122,7 +122,8 @@
       callers(io.get_executor(), context),
       operators(io.get_executor(),
                 settings.operator_token,
-                this->MakeOperatorHandlers()),
+                this->MakeOperatorHandlers(),
+                {context.connection_limits.per_listener}),
       policy(std::move(policy)),
       random(seed) {
   if (!settings.agent_address.empty()) {
@@ -248,7 +249,7 @@
 // accepts, capped at kFullPermille.
 std::uint32_t EntryServer::State::LoadPermille() const {
   const std::uint64_t limit =
-      std::max<std::uint64_t>(this->context.settings.max_caller_connections, 1);
+      std::max<std::uint64_t>(this->context.connection_limits.callers, 1);
   const std::uint64_t load =
       this->context.connections.load() * std::uint64_t{kFullPermille} / limit;
   return static_cast<std::uint32_t>(
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <utility>
 
+#include "src/connection_limits.h"
 #include "src/entry_metrics.h"
 #include "src/entry_peers.h"
 #include "src/fleet_state.h"
@@ -45,6 +46,12 @@
 // members table has been read.
 constexpr std::uint32_t kAssumedFleetSize = 64;
 
+HttpServerLimits ListenerLimits(const schema::EntrySettingsT& settings) {
+  return {DivideDescriptors(settings.max_descriptors,
+                            settings.max_caller_connections)
+              .per_listener};
+}
+
 }  // namespace
 
 struct HostControl::State : std::enable_shared_from_this<State> {
@@ -158,12 +165,15 @@
               {{this->adapter.lookup_path,
                 [this](const TargetParts& target) {
                   return this->AnswerLookup(target);
-                }}}),
+                }}},
+              ListenerLimits(settings)),
       readiness(strand,
                 "",
-                {{this->adapter.ready_path, [this](const TargetParts&) {
+                {{this->adapter.ready_path,
+                  [this](const TargetParts&) {
                     return ReadyReply(this->IsReady());
-                  }}}) {}
+                  }}},
+                ListenerLimits(settings)) {}
 
 bool HostControl::State::IsReady() const {
   return this->registry_read && this->generation > Generation() &&
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -1,10 +1,15 @@
 #include "src/http_server.h"
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
+#include <list>
+#include <optional>
 #include <utility>
 
+#include "src/clock.h"
 #include "src/listener.h"
+#include "src/log_event.h"
 #include "src/lower_case.h"
 
 namespace acacia {
@@ -18,6 +23,7 @@
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 constexpr std::chrono::seconds kIdleTimeout{60};
+constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
 
 HttpRequest FromBeast(http::request<http::string_body>& from) {
   HttpRequest request;
@@ -44,15 +50,26 @@
   return response;
 }
 
-net::awaitable<void> ServeConnection(Tcp::socket socket, HttpHandler handler) {
-  beast::tcp_stream stream(std::move(socket));
+struct Connection {
+  explicit Connection(Tcp::socket socket) : stream(std::move(socket)) {}
+
+  beast::tcp_stream stream;
+  // While it waits for a request.
+  std::optional<TimePoint> idle_since;
+};
+
+net::awaitable<void> ServeConnection(std::shared_ptr<Connection> connection,
+                                     HttpHandler handler) {
+  beast::tcp_stream& stream = connection->stream;
   beast::flat_buffer buffer;
   for (;;) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(kMaxBodyBytes);
     stream.expires_after(kIdleTimeout);
+    connection->idle_since = SystemClock().Now();
     const auto [read_error, read] =
         co_await http::async_read(stream, buffer, parser, kAwait);
+    connection->idle_since.reset();
     if (read_error) {
       co_return;
     }
@@ -74,37 +91,80 @@
 
 }  // namespace
 
-struct HttpServer::State {
-  State(const net::any_io_executor& executor, HttpHandler handler)
-      : acceptor(executor), handler(std::move(handler)) {}
+struct HttpServer::State : std::enable_shared_from_this<State> {
+  State(const net::any_io_executor& executor,
+        HttpHandler handler,
+        const HttpServerLimits& limits)
+      : acceptor(executor), handler(std::move(handler)), limits(limits) {}
+
+  net::awaitable<void> Accept();
+  void Serve(Tcp::socket socket);
+  bool MakeRoom();
 
   Tcp::acceptor acceptor;
   HttpHandler handler;
+  const HttpServerLimits limits;
+  std::list<std::shared_ptr<Connection>> connections;
 };
 
-namespace {
-
-template <typename State>
-net::awaitable<void> Accept(std::shared_ptr<State> state) {
-  while (state->acceptor.is_open()) {
-    auto [error, socket] = co_await state->acceptor.async_accept(kAwait);
-    if (error == net::error::operation_aborted || !state->acceptor.is_open()) {
+net::awaitable<void> HttpServer::State::Accept() {
+  while (this->acceptor.is_open()) {
+    auto [error, socket] = co_await this->acceptor.async_accept(kAwait);
+    if (error == net::error::operation_aborted || !this->acceptor.is_open()) {
       co_return;
     }
     if (error) {
+      // For example, the process is out of file descriptors: wait until some
+      // have been closed.
+      net::steady_timer pause(this->acceptor.get_executor(), kAcceptRetryDelay);
+      co_await pause.async_wait(kAwait);
       continue;
     }
-    auto executor = socket.get_executor();
-    net::co_spawn(executor, ServeConnection(std::move(socket), state->handler),
-                  net::detached);
+    if (this->MakeRoom()) {
+      this->Serve(std::move(socket));
+    }
   }
 }
 
-}  // namespace
+void HttpServer::State::Serve(Tcp::socket socket) {
+  const auto executor = socket.get_executor();
+  const auto at = this->connections.insert(
+      this->connections.end(), std::make_shared<Connection>(std::move(socket)));
+  net::co_spawn(
+      executor, ServeConnection(*at, this->handler),
+      [self = this->shared_from_this(), at](const std::exception_ptr& error) {
+        if (error) {
+          LogEvent("http_connection_failed", LogSeverity::kError);
+        }
+        (*at)->stream.close();
+        self->connections.erase(at);
+      });
+}
+
+// Returns false if no connection can be closed for another one.
+bool HttpServer::State::MakeRoom() {
+  if (this->connections.size() < this->limits.max_connections) {
+    return true;
+  }
+  const auto longest_idle =
+      std::min_element(this->connections.begin(), this->connections.end(),
+                       [](const auto& one, const auto& other) {
+                         return one->idle_since.value_or(TimePoint::max()) <
+                                other->idle_since.value_or(TimePoint::max());
+                       });
+  if (longest_idle == this->connections.end() || !(*longest_idle)->idle_since) {
+    return false;
+  }
+  // Its coroutine ends and removes it.
+  (*longest_idle)->idle_since.reset();
+  (*longest_idle)->stream.close();
+  return true;
+}
 
 HttpServer::HttpServer(const net::any_io_executor& executor,
-                       HttpHandler handler)
-    : state(std::make_shared<State>(executor, std::move(handler))) {}
+                       HttpHandler handler,
+                       const HttpServerLimits& limits)
+    : state(std::make_shared<State>(executor, std::move(handler), limits)) {}
 
 HttpServer::~HttpServer() {
   this->Stop();
@@ -116,7 +176,12 @@
   if (!opened) {
     return opened;
   }
-  net::co_spawn(acceptor.get_executor(), Accept(this->state), net::detached);
+  net::co_spawn(
+      acceptor.get_executor(),
+      [](std::shared_ptr<State> shared_state) -> net::awaitable<void> {
+        co_await shared_state->Accept();
+      }(this->state),
+      net::detached);
   return {};
 }
 
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -18,11 +18,19 @@
 using HttpHandler =
     std::function<boost::asio::awaitable<HttpReply>(HttpRequest)>;
 
+struct HttpServerLimits {
+  // Open connections. A further one takes the place of the one that has been
+  // idle for longest; if none is idle, it is closed.
+  std::uint32_t max_connections = 1024;
+};
+
 // Thread-safe if its executor is a strand or is run by one thread. Connections
 // keep the handler alive after the server is destroyed.
 class HttpServer {
  public:
-  HttpServer(const boost::asio::any_io_executor& executor, HttpHandler handler);
+  HttpServer(const boost::asio::any_io_executor& executor,
+             HttpHandler handler,
+             const HttpServerLimits& limits = {});
   ~HttpServer();
 
   // Listens on `address` ("ip:port"; port 0 selects a free port) and serves.
--- a/src/operator_server.cc
+++ b/src/operator_server.cc
@@ -8,8 +8,6 @@
 #include <boost/json.hpp>
 #include <utility>
 
-#include "src/http_server.h"
-
 namespace acacia {
 namespace {
 
@@ -93,15 +91,18 @@
 }
 
 struct OperatorServer::State {
-  State(const net::any_io_executor& executor, HttpHandler handler)
-      : server(net::make_strand(executor), std::move(handler)) {}
+  State(const net::any_io_executor& executor,
+        HttpHandler handler,
+        const HttpServerLimits& limits)
+      : server(net::make_strand(executor), std::move(handler), limits) {}
 
   HttpServer server;
 };
 
 OperatorServer::OperatorServer(const net::any_io_executor& executor,
                                std::string token,
-                               OperatorHandlers handlers) {
+                               OperatorHandlers handlers,
+                               const HttpServerLimits& limits) {
   // The handler shares ownership of the token and the paths, because
   // connections may outlive this object.
   auto shared_token = std::make_shared<const std::string>(std::move(token));
@@ -111,7 +112,7 @@
     return HandleRequestAsync(std::move(request), shared_token.get(),
                               shared_handlers.get());
   };
-  this->state = std::make_unique<State>(executor, std::move(handler));
+  this->state = std::make_unique<State>(executor, std::move(handler), limits);
 }
 
 OperatorServer::~OperatorServer() = default;
--- a/src/operator_server.h
+++ b/src/operator_server.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "src/http_message.h"
+#include "src/http_server.h"
 #include "src/query_string.h"
 
 namespace prometheus {
@@ -40,7 +41,8 @@
   // An empty token disables the check.
   OperatorServer(const boost::asio::any_io_executor& executor,
                  std::string token,
-                 OperatorHandlers handlers);
+                 OperatorHandlers handlers,
+                 const HttpServerLimits& limits = {});
   ~OperatorServer();
 
   // Listens on `address` ("ip:port") and serves. The error names the address
--- a/src/process_setup.cc
+++ b/src/process_setup.cc
@@ -1,6 +1,10 @@
 #include "src/process_setup.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <csignal>
+#include <limits>
 
 namespace acacia {
 namespace {
@@ -20,4 +24,14 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
+std::uint32_t DescriptorLimit() {
+  rlimit limit{};
+  const bool is_limited = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
+                          limit.rlim_cur != RLIM_INFINITY;
+  return is_limited
+             ? static_cast<std::uint32_t>(std::min<rlim_t>(
+                   limit.rlim_cur, std::numeric_limits<std::uint32_t>::max()))
+             : 0;
+}
+
 }  // namespace acacia
--- a/src/process_setup.h
+++ b/src/process_setup.h
@@ -2,6 +2,8 @@
 #ifndef SRC_PROCESS_SETUP_H_
 #define SRC_PROCESS_SETUP_H_
 
+#include <cstdint>
+
 namespace acacia {
 
 // Ignores SIGPIPE, so that writing to a pipe or socket whose reader has gone
@@ -12,6 +14,10 @@
 // handles the signal itself.
 void PrepareProcess();
 
+// Returns how many descriptors the system lets the process open; 0 if any
+// number.
+std::uint32_t DescriptorLimit();
+
 }  // namespace acacia
 
 #endif  // SRC_PROCESS_SETUP_H_
--- a/test/correctness/http_messages_test.cc
+++ b/test/correctness/http_messages_test.cc
@@ -47,5 +47,35 @@
   CHECK(done);
 }
 
+// Guards FAULT: connections that nobody used kept a listener from answering
+// those that ask whether the entry is ready.
+TEST_CASE("idle HTTP connections make room for those that ask") {
+  net::io_context context;
+  HttpServer server(context.get_executor(), Echo, {2});
+  REQUIRE(server.Listen("127.0.0.1:0"));
+  const net::ip::tcp::endpoint address(net::ip::address_v4::loopback(),
+                                       server.Port());
+  std::vector<net::ip::tcp::socket> idle;
+  for (int i = 0; i < 10; ++i) {
+    idle.emplace_back(context);
+    idle.back().connect(address);
+  }
+  bool done = false;
+  net::co_spawn(context,
+                Exchange("127.0.0.1:" + std::to_string(server.Port()), &done),
+                [&](const std::exception_ptr&) { context.stop(); });
+  context.run();
+  CHECK(done);
+  int closed = 0;
+  for (net::ip::tcp::socket& socket : idle) {
+    socket.non_blocking(true);
+    char byte = 0;
+    boost::system::error_code error;
+    socket.read_some(net::buffer(&byte, 1), error);
+    closed += error == net::error::eof ? 1 : 0;
+  }
+  CHECK(closed >= 8);
+}
+
 }  // namespace
 }  // namespace acacia
--- a/test/host_entry.h
+++ b/test/host_entry.h
@@ -134,6 +134,16 @@
     this->process =
         std::make_unique<Process>(this->Command(), this->folder + "/log");
   }
+  // The system lets the program open `count` descriptors.
+  void StartWithDescriptors(int count) {
+    const std::string script =
+        "ulimit -n " + std::to_string(count) + " && exec \"$0\" \"$@\"";
+    std::vector<std::string> words{"/bin/sh", "-c", script};
+    for (const std::string& word : this->Command()) {
+      words.push_back(word);
+    }
+    this->process = std::make_unique<Process>(words, this->folder + "/log");
+  }
   // The program writes its log to the descriptor `output`.
   void StartWithOutput(int output) {
     this->process = std::make_unique<Process>(this->Command(), output);
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -263,5 +263,36 @@
   CHECK(StatusOf(caller.ReadMessage()) == 200);
 }
 
+// Guards FAULT and LOST: connections that nobody used took all descriptors, so
+// that none were left for backend servers and for telling that it is ready.
+TEST_CASE("Idle callers leave descriptors for those that are served") {
+  HostEntry entry(Echo);
+  entry.StartWithDescriptors(256);
+  entry.AwaitReady();
+  const auto is_served = [&](TextStream& caller, const std::string& id) {
+    caller.Send(HostEntry::Head(id, 2) + "hi");
+    return StatusOf(caller.ReadMessage()) == 200;
+  };
+  std::vector<TextStream> kept;
+  for (int i = 0; i < 42; ++i) {
+    kept.push_back(entry.Connect());
+    REQUIRE(is_served(kept.back(), "before-" + std::to_string(i)));
+  }
+  std::vector<TextStream> idle;
+  for (int i = 0; i < 400; ++i) {
+    idle.push_back(entry.Connect());
+    idle.push_back(
+        entry.ConnectTo(i % 2 == 0 ? entry.lookups : entry.readiness));
+  }
+  CHECK(entry.IsReady());
+  int served = 0;
+  for (std::size_t i = 0; i < kept.size(); ++i) {
+    served += is_served(kept[i], "after-" + std::to_string(i)) ? 1 : 0;
+  }
+  CHECK(served == 42);
+  TextStream another = entry.Connect();
+  CHECK(is_served(another, "another"));
+}
+
 }  // namespace
 }  // namespace acacia
