Bound what the small HTTP servers and clients hold

What callers could do: requests with a large body, or with a chunk header or trailer without end, to the listeners for lookups and readiness filled the entry's memory until it was killed (FAULT). Cause: the HTTP server took bodies of 64 MB, and nothing bounded what waits for its parser; bounded the proxy's readers only. The store's client had the same gap. Change: at most 128 KB wait for a parser, and an operator server takes bodies of 16 KB.

--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -56,7 +56,7 @@
 struct HttpClient::State {
   std::string address;
   std::optional<beast::tcp_stream> stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedHttpBytes};
 
   net::awaitable<bool> Connect(Duration timeout);
 };
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -4,11 +4,17 @@
 #ifndef SRC_HTTP_MESSAGE_H_
 #define SRC_HTTP_MESSAGE_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 
 namespace acacia {
 
+// Bytes of a message that may wait for its parser: the head, a chunk header or
+// trailers, and what is read ahead. A longer head, chunk header or trailer is
+// refused.
+inline constexpr std::size_t kMaxUnparsedHttpBytes = 128 * 1024;
+
 // Header values by lower-case name.
 using HttpHeaders = std::map<std::string, std::string>;
 
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -21,7 +21,6 @@
 using Tcp = net::ip::tcp;
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
-constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 constexpr std::chrono::seconds kIdleTimeout{60};
 constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
 
@@ -59,12 +58,13 @@
 };
 
 net::awaitable<void> ServeConnection(std::shared_ptr<Connection> connection,
-                                     HttpHandler handler) {
+                                     HttpHandler handler,
+                                     std::uint64_t max_body_bytes) {
   beast::tcp_stream& stream = connection->stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxUnparsedHttpBytes);
   for (;;) {
     http::request_parser<http::string_body> parser;
-    parser.body_limit(kMaxBodyBytes);
+    parser.body_limit(max_body_bytes);
     stream.expires_after(kIdleTimeout);
     connection->idle_since = SystemClock().Now();
     const auto [read_error, read] =
@@ -131,7 +131,8 @@
   const auto at = this->connections.insert(
       this->connections.end(), std::make_shared<Connection>(std::move(socket)));
   net::co_spawn(
-      executor, ServeConnection(*at, this->handler),
+      executor,
+      ServeConnection(*at, this->handler, this->limits.max_body_bytes),
       [self = this->shared_from_this(), at](const std::exception_ptr& error) {
         if (error) {
           LogEvent("http_connection_failed", LogSeverity::kError);
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -22,6 +22,8 @@
   // Open connections. A further one takes the place of the one that has been
   // idle for longest; if none is idle, it is closed.
   std::uint32_t max_connections = 1024;
+  // Of one request; a longer one ends the connection.
+  std::uint64_t max_body_bytes = 64 * 1024 * 1024;
 };
 
 // Thread-safe if its executor is a strand or is run by one thread. Connections
--- a/src/operator_server.cc
+++ b/src/operator_server.cc
@@ -13,6 +13,14 @@
 
 namespace net = boost::asio;
 
+// No request to an operator server needs a body.
+constexpr std::uint64_t kMaxBodyBytes = 16 * 1024;
+
+HttpServerLimits WithSmallBodies(HttpServerLimits limits) {
+  limits.max_body_bytes = kMaxBodyBytes;
+  return limits;
+}
+
 // Compares in constant time for texts of equal length, so that timing does not
 // reveal where they differ.
 bool EqualsInConstantTime(const std::string& given,
@@ -94,7 +102,9 @@
   State(const net::any_io_executor& executor,
         HttpHandler handler,
         const HttpServerLimits& limits)
-      : server(net::make_strand(executor), std::move(handler), limits) {}
+      : server(net::make_strand(executor),
+               std::move(handler),
+               WithSmallBodies(limits)) {}
 
   HttpServer server;
 };
--- a/src/operator_server.h
+++ b/src/operator_server.h
@@ -38,7 +38,8 @@
 // Runs on one strand of `executor`.
 class OperatorServer {
  public:
-  // An empty token disables the check.
+  // An empty token disables the check. Requests have small bodies, whatever
+  // `limits` says.
   OperatorServer(const boost::asio::any_io_executor& executor,
                  std::string token,
                  OperatorHandlers handlers,
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -294,5 +294,33 @@
   CHECK(is_served(another, "another"));
 }
 
+// Guards FAULT: requests to the listeners for lookups and readiness were held
+// in memory up to 64 MB each, or without end.
+TEST_CASE("Endless requests to the small listeners are cut off") {
+  constexpr std::size_t kMuch = 32 * 1024 * 1024;
+  HostEntry entry(Echo);
+  entry.Start();
+  entry.AwaitReady();
+  const std::string post = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string piece(64 * 1024, '0');
+  for (const std::string& address : {entry.lookups, entry.readiness}) {
+    for (const std::string& beginning :
+         {post + "X-Long: ", post + "Content-Length: 60000000\r\n\r\n",
+          post + "Transfer-Encoding: chunked\r\n\r\n",
+          post + "Transfer-Encoding: chunked\r\n\r\n1;x=",
+          post + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: "}) {
+      INFO(beginning);
+      TextStream caller = entry.ConnectTo(address);
+      caller.Send(beginning);
+      std::size_t sent = 0;
+      while (sent < kMuch && caller.Send(piece)) {
+        sent += piece.size();
+      }
+      CHECK(sent < kMuch);
+    }
+  }
+  CHECK(entry.IsReady());
+}
+
 }  // namespace
 }  // namespace acacia
