Wait at the start for an address that is in use for a moment

Cause: an address that a process about to end, or an outgoing connection's source port, held for a moment ended the process with code 1. Failing before: correctness 'A listener waits for its address to become free' and 'Datagrams between entries wait for their address to become free'. Change: opening is tried again for 5 s while the address is in use, in the listeners and in the sockets between entries.

--- a/src/listener.cc
+++ b/src/listener.cc
@@ -1,10 +1,37 @@
 #include "src/listener.h"
 
+#include <chrono>
+#include <thread>
+
+#include "src/log_event.h"
 #include "src/socket_address.h"
 
 namespace acacia {
+namespace {
 
 using Tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr int kMaxOpenAttempts = 50;
+constexpr std::chrono::milliseconds kOpenRetryDelay{100};
+
+}  // namespace
+
+error_code OpenWhenFree(const std::string& address,
+                        const std::function<error_code()>& open) {
+  error_code error = open();
+  for (int attempt = 1; error == boost::asio::error::address_in_use &&
+                        attempt < kMaxOpenAttempts;
+       ++attempt) {
+    if (attempt == 1) {
+      LogEvent("address_in_use", LogSeverity::kWarning)
+          .With("address", address);
+    }
+    std::this_thread::sleep_for(kOpenRetryDelay);
+    error = open();
+  }
+  return error;
+}
 
 tl::expected<void, std::string> OpenListener(Tcp::acceptor& acceptor,
                                              const std::string& address) {
@@ -13,11 +40,18 @@
     return tl::unexpected("\"" + address + "\" is not an address");
   }
   const Tcp::endpoint local(endpoint->address, endpoint->port);
-  boost::system::error_code error;
-  if (acceptor.open(local.protocol(), error) ||
-      acceptor.set_option(Tcp::acceptor::reuse_address(true), error) ||
-      acceptor.bind(local, error) ||
-      acceptor.listen(Tcp::acceptor::max_listen_connections, error)) {
+  const error_code error = OpenWhenFree(address, [&] {
+    error_code failure;
+    acceptor.close(failure);
+    if (acceptor.open(local.protocol(), failure) ||
+        acceptor.set_option(Tcp::acceptor::reuse_address(true), failure) ||
+        acceptor.bind(local, failure)) {
+      return failure;
+    }
+    acceptor.listen(Tcp::acceptor::max_listen_connections, failure);
+    return failure;
+  });
+  if (error) {
     return tl::unexpected(address + ": " + error.message());
   }
   return {};
--- a/src/listener.h
+++ b/src/listener.h
@@ -3,13 +3,24 @@
 #define SRC_LISTENER_H_
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/system/error_code.hpp>
+#include <functional>
 #include <string>
 #include <tl/expected.hpp>
 
 namespace acacia {
 
+// Calls `open` until it succeeds or fails for another reason than that its
+// address is in use, for some seconds at most. A process that is about to end
+// may hold the address, or, for a port that the system also gives to outgoing
+// connections, one of these. Blocks; `address` is for the log.
+boost::system::error_code OpenWhenFree(
+    const std::string& address,
+    const std::function<boost::system::error_code()>& open);
+
 // Binds `acceptor` to `address` ("ip:port"; port 0 selects a free port) and
-// listens. The error names the address and the reason.
+// listens. Waits for some seconds while the address is in use. The error names
+// the address and the reason.
 tl::expected<void, std::string> OpenListener(
     boost::asio::ip::tcp::acceptor& acceptor,
     const std::string& address);
--- a/src/peer_transport.cc
+++ b/src/peer_transport.cc
@@ -9,6 +9,7 @@
 
 #include "src/agent_core.h"
 #include "src/framed_stream.h"
+#include "src/listener.h"
 #include "src/socket_address.h"
 
 namespace acacia {
@@ -86,19 +87,24 @@
 
 tl::expected<void, std::string> PeerTransport::State::Open(
     const SocketAddress& local) {
-  ErrorCode error;
-  const Tcp::endpoint stream(local.address, local.port);
-  if (this->acceptor.open(stream.protocol(), error) ||
-      this->acceptor.set_option(Tcp::acceptor::reuse_address(true), error) ||
-      this->acceptor.bind(stream, error) ||
-      this->acceptor.listen(Tcp::acceptor::max_listen_connections, error)) {
-    return tl::unexpected("peer stream: " + error.message());
+  const auto listening =
+      OpenListener(this->acceptor, ToText(local.address, local.port));
+  if (!listening) {
+    return tl::unexpected("peer stream: " + listening.error());
   }
   const std::uint16_t port = this->acceptor.local_endpoint().port();
   const Udp::endpoint datagram(local.address, port);
-  if (this->datagrams.open(datagram.protocol(), error) ||
-      this->datagrams.bind(datagram, error) ||
-      this->datagrams.non_blocking(true, error)) {
+  const ErrorCode error = OpenWhenFree(ToText(local.address, port), [&] {
+    ErrorCode failure;
+    this->datagrams.close(failure);
+    if (this->datagrams.open(datagram.protocol(), failure) ||
+        this->datagrams.bind(datagram, failure)) {
+      return failure;
+    }
+    this->datagrams.non_blocking(true, failure);
+    return failure;
+  });
+  if (error) {
     return tl::unexpected("peer datagrams: " + error.message());
   }
   return {};
--- /dev/null
+++ b/test/correctness/listener_test.cc
@@ -0,0 +1,64 @@
+#include "src/listener.h"
+
+#include <boost/asio.hpp>
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "src/peer_transport.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+using Tcp = net::ip::tcp;
+using Udp = net::ip::udp;
+
+constexpr std::chrono::milliseconds kHeldFor{300};
+
+// Guards FAULT: an entry that was started while another process still had one
+// of its addresses ended at once.
+TEST_CASE("A listener waits for its address to become free") {
+  net::io_context context;
+  const net::ip::address loopback = net::ip::address_v4::loopback();
+  Tcp::acceptor holder(context, Tcp::endpoint(loopback, 0));
+  const std::string address =
+      "127.0.0.1:" + std::to_string(holder.local_endpoint().port());
+  std::thread release([&] {
+    std::this_thread::sleep_for(kHeldFor);
+    holder.close();
+  });
+  Tcp::acceptor acceptor(context);
+  CHECK(OpenListener(acceptor, address));
+  release.join();
+}
+
+TEST_CASE("Datagrams between entries wait for their address to become free") {
+  net::io_context context;
+  const net::ip::address loopback = net::ip::address_v4::loopback();
+  Udp::socket holder(context, Udp::endpoint(loopback, 0));
+  const std::string address =
+      "127.0.0.1:" + std::to_string(holder.local_endpoint().port());
+  std::thread release([&] {
+    std::this_thread::sleep_for(kHeldFor);
+    holder.close();
+  });
+  PeerTransport transport(context.get_executor(),
+                          [](const PeerAddress&, const std::string&) {}, {});
+  CHECK(transport.Listen(address, ""));
+  release.join();
+}
+
+TEST_CASE("An address that stays in use is an error that names it") {
+  net::io_context context;
+  Tcp::acceptor holder(context,
+                       Tcp::endpoint(net::ip::address_v4::loopback(), 0));
+  const std::string address =
+      "127.0.0.1:" + std::to_string(holder.local_endpoint().port());
+  Tcp::acceptor acceptor(context);
+  const auto opened = OpenListener(acceptor, address);
+  REQUIRE_FALSE(opened);
+  CHECK(opened.error().find(address) != std::string::npos);
+}
+
+}  // namespace
+}  // namespace acacia
