Open /dev/null in place of closed standard streams

What happened: an entry that was started with its standard output closed wrote its log to whatever descriptor got the number 1, which could be a socket (MIXED). Failing before: integration 'An entry without a standard output writes its log nowhere', anon_inode:[eventfd], [eventpoll] and [timerfd] in place of /dev/null. Change: the daemons open /dev/null for each closed standard stream first.

--- a/src/process_setup.cc
+++ b/src/process_setup.cc
@@ -1,9 +1,13 @@
 #include "src/process_setup.h"
 
+#include <fcntl.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
+#include <initializer_list>
 #include <limits>
 
 namespace acacia {
@@ -22,6 +26,12 @@
 
 void PrepareProcess() {
   std::signal(SIGPIPE, SIG_IGN);
+  for (const int stream : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    if (::fcntl(stream, F_GETFD) < 0 && errno == EBADF) {
+      // Gets the lowest free number, which is `stream`.
+      ::open("/dev/null", O_RDWR);
+    }
+  }
 }
 
 std::uint32_t DescriptorLimit() {
--- a/src/process_setup.h
+++ b/src/process_setup.h
@@ -7,8 +7,9 @@
 namespace acacia {
 
 // Ignores SIGPIPE, so that writing to a pipe or socket whose reader has gone
-// fails instead of ending the process. Must be called before the process opens
-// any file or starts a thread.
+// fails instead of ending the process. Opens /dev/null in place of each closed
+// standard stream, so that no socket gets its number and with it the log. Must
+// be called before the process opens any file or starts a thread.
 //
 // A program that calls this also ignores SIGHUP from before main on, until it
 // handles the signal itself.
--- a/test/host_entry.h
+++ b/test/host_entry.h
@@ -136,8 +136,11 @@
   }
   // The system lets the program open `count` descriptors.
   void StartWithDescriptors(int count) {
-    const std::string script =
-        "ulimit -n " + std::to_string(count) + " && exec \"$0\" \"$@\"";
+    this->StartByShell("ulimit -n " + std::to_string(count) +
+                       " && exec \"$0\" \"$@\"");
+  }
+  // `script` runs "$0" with the arguments "$@".
+  void StartByShell(const std::string& script) {
     std::vector<std::string> words{"/bin/sh", "-c", script};
     for (const std::string& word : this->Command()) {
       words.push_back(word);
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -40,6 +40,19 @@
   CHECK(entry.IsReady());
 }
 
+// Guards MIXED: where the standard output was closed, the log went to whatever
+// got its number: a socket, or the descriptor that wakes the event loop.
+TEST_CASE("An entry without a standard output writes its log nowhere") {
+  HostEntry entry(Echo);
+  entry.StartByShell("exec \"$0\" \"$@\" <&- >&- 2>&-");
+  entry.AwaitReady();
+  const std::string descriptors =
+      "/proc/" + std::to_string(entry.process->Pid()) + "/fd/";
+  for (const std::string stream : {"0", "1", "2"}) {
+    CHECK(std::filesystem::read_symlink(descriptors + stream) == "/dev/null");
+  }
+}
+
 std::string ReadFile(const std::string& file) {
   std::ifstream in(file);
   return {std::istreambuf_iterator<char>(in), {}};
