--- a/test/correctness/host_decoders_test.cc
+++ b/test/correctness/host_decoders_test.cc
@@ -77,6 +77,8 @@
   CHECK_FALSE(read->leaving);
 }
 
+// Guards ROUTE and DRAIN: an entry of another writer without the fields that
+// order reports was used as a backend server.
 TEST_CASE("a registration with a missing or mistyped field is refused") {
   const std::string good = kRegistration;
   const auto with = [&](const std::string& from, const std::string& to) {
@@ -94,6 +96,15 @@
   CHECK_FALSE(with("\"zone\"", "\"zzz\""));
   CHECK_FALSE(with("\"kehto\"", "null"));
   CHECK_FALSE(DecodeRegistration("i-1", "\xff\x00"));
+  CHECK_FALSE(with("\"v1\"", "1"));
+  CHECK_FALSE(with("\"version\":\"v1\",", ""));
+  CHECK_FALSE(with("\"seq\":4", "\"seq\":\"4\""));
+  CHECK_FALSE(with("\"seq\":4,", ""));
+  CHECK_FALSE(with("1.5", "-1"));
+  CHECK_FALSE(with("1.5", "null"));
+  CHECK_FALSE(with("\"coldLeftS\":1.5,", ""));
+  CHECK_FALSE(with("17", "\"17\""));
+  CHECK_FALSE(with("17", "1.5"));
   CHECK(with(",\"born\":17", "")->id == BackendId("i-1"));
 }
 
