End attempts whose interim answers are unknown or endless

Failing before: host_proxy_test 'interim answers that are unknown or endless end the attempt', 99, 0 and 150 == 502; endless 100: 504 after 5.0 s, endless 103: no end. Change: 100, 102 and 103 are interim answers, 16 of them at most; anything else below 200 is a broken answer.

--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -21,7 +21,10 @@
 constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kContinueStatus = 100;
-constexpr int kSwitchingStatus = 101;
+constexpr int kProcessingStatus = 102;
+constexpr int kEarlyHintsStatus = 103;
+// Interim answers before the final one. More may be endless.
+constexpr int kMaxInterimAnswers = 16;
 constexpr int kFirstRedirect = 300;
 // Number of answers to other requests that are skipped before the expected one.
 constexpr int kMaxSkippedAnswers = 2;
@@ -45,6 +48,7 @@
 }  // namespace
 
 net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ReadAnswerHead() {
+  int interim_answers = 0;
   for (int skipped = 0;;) {
     if (const auto failed = co_await this->ParseAnswerHead()) {
       co_return failed;
@@ -62,7 +66,10 @@
     if (status >= kFirstFinalStatus) {
       break;
     }
-    if (status == kSwitchingStatus) {
+    const bool is_known = status == kContinueStatus ||
+                          status == kProcessingStatus ||
+                          status == kEarlyHintsStatus;
+    if (!is_known || ++interim_answers > kMaxInterimAnswers) {
       co_return AttemptResult::kBroken;
     }
     if (status == kContinueStatus) {
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -418,6 +418,41 @@
   CHECK(StatusOf(f.RoundTrip(kPost)) == 200);
 }
 
+// Guards MIXED: what is no interim answer of HTTP reached the caller as one,
+// and such answers without end did so until the deadline.
+TEST_CASE("interim answers that are unknown or endless end the attempt") {
+  for (const std::string status : {"099 X", "000 X", "101 X", "150 X"}) {
+    INFO(status);
+    HostFixture f([&](TextStream& stream, const std::string&) {
+      stream.Send("HTTP/1.1 " + status + "\r\n\r\n");
+      return stream.Send(SignedAnswer("abc", "body"));
+    });
+    CHECK(StatusOf(f.RoundTrip(kPost)) == 502);
+  }
+  for (const std::string status : {"100 Continue", "103 Early Hints"}) {
+    INFO(status);
+    HostFixture f(EndlessAnswer("", "HTTP/1.1 " + status + "\r\n\r\n"));
+    const auto began = std::chrono::steady_clock::now();
+    TextStream caller = f.Connect();
+    caller.Send(kPost);
+    std::string answer = caller.ReadMessage();
+    while (StatusOf(answer) == 103) {
+      answer = caller.ReadMessage();
+    }
+    CHECK(StatusOf(answer) == 502);
+    // The caller's deadline is five seconds.
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(4));
+  }
+  HostFixture f([&](TextStream& stream, const std::string&) {
+    stream.Send("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    return stream.Send(SignedAnswer("abc", "body"));
+  });
+  TextStream caller = f.Connect();
+  caller.Send(kPost);
+  CHECK(StatusOf(caller.ReadMessage()) == 103);
+  CHECK(BodyOf(caller.ReadMessage()) == "body");
+}
+
 // Guards CONFIG: an upload to a slow backend server had no answer at the
 // route's time limit.
 TEST_CASE("an upload that is not read in time gets its final answer") {
