Let only callers that still send delay a stop, and free bodies earlier

What operators saw: since requests are refused early in a stop, a connection that was answered but not closed by its caller could hold up the stop until its end, where it was two seconds before. Only a refused caller that is still sending its body is waited for so long now, so that a reset does not destroy its answer. A body's memory is given back when its last attempt has ended, not when its connection has been closed. Run: integration 'A planned stop refuses the requests that it could cut off' and 'Uploads that come at once stay within the entry's memory', and the pipelining tests.

--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -210,10 +210,14 @@
   this->NotifyChanged();
 }
 
-net::awaitable<void> CallerSession::CloseGracefully() {
+net::awaitable<void> CallerSession::CloseGracefully(bool is_sending) {
   boost::system::error_code error;
   this->caller.Socket().shutdown(net::ip::tcp::socket::shutdown_send, error);
-  this->caller_deadline = this->context.LingerDeadline(kMaxLingerTime);
+  this->caller_deadline = this->context.clock.Now() + kMaxLingerTime;
+  if (is_sending) {
+    this->caller_deadline =
+        std::max(this->caller_deadline, this->context.StopEnd());
+  }
   this->ArmWatchdog();
   std::vector<char> scratch(kDiscardBufferBytes);
   std::size_t total = 0;
--- a/src/caller_session.h
+++ b/src/caller_session.h
@@ -69,8 +69,9 @@
   // Restarts or stops the timeout for the caller to send or receive data.
   void EnableCallerTimeout(bool enabled);
   // Shuts down sending and discards input for a short time, so that a TCP reset
-  // does not destroy the last answer before the caller has read it.
-  boost::asio::awaitable<void> CloseGracefully();
+  // does not destroy the last answer before the caller has read it. A caller
+  // that `is_sending` is given until the end of a stop that has begun.
+  boost::asio::awaitable<void> CloseGracefully(bool is_sending);
 
  private:
   boost::asio::awaitable<void> Run();
--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -3,7 +3,6 @@
 #ifndef SRC_ENTRY_CONTEXT_H_
 #define SRC_ENTRY_CONTEXT_H_
 
-#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <mutex>
@@ -88,14 +87,12 @@
     return this->phase.load() == EntryPhase::kServing ||
            this->stop_window.Admits(this->clock.Now(), deadline);
   }
-  // The time until which a connection that closes discards input, at least
-  // `min`. A caller that was refused during a stop may still be sending.
-  TimePoint LingerDeadline(Duration min) const {
-    const TimePoint earliest = this->clock.Now() + min;
+  // The end of the stop that has begun; min() if none has, or it has no end.
+  TimePoint StopEnd() const {
     const bool is_stopping = this->phase.load() != EntryPhase::kServing;
     return is_stopping && this->stop_window.end < TimePoint::max()
-               ? std::max(earliest, this->stop_window.end)
-               : earliest;
+               ? this->stop_window.end
+               : TimePoint::min();
   }
   // The time at which a caller that neither sends nor receives anything from
   // now on times out.
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -42,6 +42,11 @@
   return true;
 }
 
+void Exchange::DropBody() {
+  this->body_prefix = std::string();
+  this->body_share->Release();
+}
+
 bool Exchange::AddBodyBytes(std::string_view piece, bool is_last) {
   this->body_bytes += piece.size();
   this->body_complete = is_last;
@@ -54,8 +59,7 @@
   if (this->body_bytes > this->replayable_bytes ||
       !this->ReserveBody(this->body_bytes)) {
     this->exceeds_replay_buffer = true;
-    this->body_prefix = std::string();
-    this->body_share->Release();
+    this->DropBody();
     return true;
   }
   this->body_prefix.append(piece);
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -80,6 +80,8 @@
   bool IsReplayable() const { return !this->exceeds_replay_buffer; }
   // Makes room for a prefix of `bytes`. Returns false if no memory is left.
   bool ReserveBody(std::size_t bytes);
+  // Gives the memory of the prefix back.
+  void DropBody();
   // Records a piece of the body. Returns false if the body exceeds the route's
   // limit.
   bool AddBodyBytes(std::string_view piece, bool is_last);
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -248,6 +248,7 @@
 }
 
 net::awaitable<bool> ProxyExchange::FinishDispatch() {
+  this->exchange->DropBody();
   const bool relay_started =
       this->relaying && this->relaying->HasRelayStarted();
   if (relay_started && this->relaying->IsRelayComplete()) {
@@ -258,7 +259,7 @@
         (this->allows_pipelining || this->caller.IsBodyDone());
     if (!keep_open) {
       this->OnClosingAnswer();
-      co_await this->session->CloseGracefully();
+      co_await this->session->CloseGracefully(this->IsCallerSending());
     }
     co_return keep_open;
   }
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -402,11 +402,15 @@
       co_await http::async_write(this->caller.Socket(), reply, kAwait);
   this->EnableCallerTimeout(false);
   if (!error && !keep_open) {
-    co_await this->session->CloseGracefully();
+    co_await this->session->CloseGracefully(this->IsCallerSending());
   }
   co_return !error && keep_open;
 }
 
+bool ProxyExchange::IsCallerSending() const {
+  return this->exchange && !this->exchange->body_complete;
+}
+
 // Reads and discards the rest of the body. Returns true if the connection can
 // carry another request.
 net::awaitable<bool> ProxyExchange::DiscardBody() {
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -101,6 +101,8 @@
   void AllowPipelining();
   void EndAtDeadline(ErrorKind kind);
   bool MayHaveBeenSent() const;
+  // Part of the request has not been read.
+  bool IsCallerSending() const;
   void RefuseForStop();
   void ReportCallerLeft();
   bool IsOver() const;
