--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -3,11 +3,11 @@
 #include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
+#include <limits>
 #include <list>
 #include <optional>
 #include <utility>
 
-#include "src/clock.h"
 #include "src/listener.h"
 #include "src/log_event.h"
 #include "src/lower_case.h"
@@ -23,6 +23,8 @@
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr std::chrono::seconds kIdleTimeout{60};
 constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
+// Sorts after the sequence numbers of idle connections.
+constexpr auto kBusy = std::numeric_limits<std::uint64_t>::max();
 
 HttpRequest FromBeast(http::request<http::string_body>& from) {
   HttpRequest request;
@@ -53,42 +55,11 @@
   explicit Connection(Tcp::socket socket) : stream(std::move(socket)) {}
 
   beast::tcp_stream stream;
-  // While it waits for a request.
-  std::optional<TimePoint> idle_since;
+  // Grows with each connection that becomes idle; nullopt while a request is
+  // handled.
+  std::optional<std::uint64_t> idle_sequence;
 };
 
-net::awaitable<void> ServeConnection(std::shared_ptr<Connection> connection,
-                                     HttpHandler handler,
-                                     std::uint64_t max_body_bytes) {
-  beast::tcp_stream& stream = connection->stream;
-  beast::flat_buffer buffer(kMaxUnparsedHttpBytes);
-  for (;;) {
-    http::request_parser<http::string_body> parser;
-    parser.body_limit(max_body_bytes);
-    stream.expires_after(kIdleTimeout);
-    connection->idle_since = SystemClock().Now();
-    const auto [read_error, read] =
-        co_await http::async_read(stream, buffer, parser, kAwait);
-    connection->idle_since.reset();
-    if (read_error) {
-      co_return;
-    }
-    stream.expires_never();
-    const bool keep_alive = parser.get().keep_alive();
-    HttpReply reply = co_await handler(FromBeast(parser.get()));
-    if (reply.close_without_reply) {
-      co_return;
-    }
-    auto response = ToBeast(reply, keep_alive);
-    stream.expires_after(kIdleTimeout);
-    const auto [write_error, written] =
-        co_await http::async_write(stream, response, kAwait);
-    if (write_error || !keep_alive) {
-      co_return;
-    }
-  }
-}
-
 }  // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<State> {
@@ -99,12 +70,14 @@
 
   net::awaitable<void> Accept();
   void Serve(Tcp::socket socket);
+  net::awaitable<void> AnswerRequests(std::shared_ptr<Connection> connection);
   bool MakeRoom();
 
   Tcp::acceptor acceptor;
   HttpHandler handler;
   const HttpServerLimits limits;
   std::list<std::shared_ptr<Connection>> connections;
+  std::uint64_t last_idle_sequence = 0;
 };
 
 net::awaitable<void> HttpServer::State::Accept() {
@@ -131,8 +104,7 @@
   const auto at = this->connections.insert(
       this->connections.end(), std::make_shared<Connection>(std::move(socket)));
   net::co_spawn(
-      executor,
-      ServeConnection(*at, this->handler, this->limits.max_body_bytes),
+      executor, this->AnswerRequests(*at),
       [self = this->shared_from_this(), at](const std::exception_ptr& error) {
         if (error) {
           LogEvent("http_connection_failed", LogSeverity::kError);
@@ -142,7 +114,39 @@
       });
 }
 
-// Returns false if no connection can be closed for another one.
+net::awaitable<void> HttpServer::State::AnswerRequests(
+    std::shared_ptr<Connection> connection) {
+  beast::tcp_stream& stream = connection->stream;
+  beast::flat_buffer buffer(kMaxUnparsedHttpBytes);
+  for (;;) {
+    http::request_parser<http::string_body> parser;
+    parser.body_limit(this->limits.max_body_bytes);
+    stream.expires_after(kIdleTimeout);
+    connection->idle_sequence = ++this->last_idle_sequence;
+    const auto [read_error, read] =
+        co_await http::async_read(stream, buffer, parser, kAwait);
+    connection->idle_sequence.reset();
+    if (read_error) {
+      co_return;
+    }
+    stream.expires_never();
+    const bool keep_alive = parser.get().keep_alive();
+    HttpReply reply = co_await this->handler(FromBeast(parser.get()));
+    if (reply.close_without_reply) {
+      co_return;
+    }
+    auto response = ToBeast(reply, keep_alive);
+    stream.expires_after(kIdleTimeout);
+    const auto [write_error, written] =
+        co_await http::async_write(stream, response, kAwait);
+    if (write_error || !keep_alive) {
+      co_return;
+    }
+  }
+}
+
+// Closes the connection that has been idle for longest if there are too many.
+// Returns false if there is no room for another one.
 bool HttpServer::State::MakeRoom() {
   if (this->connections.size() < this->limits.max_connections) {
     return true;
@@ -150,14 +154,15 @@
   const auto longest_idle =
       std::min_element(this->connections.begin(), this->connections.end(),
                        [](const auto& one, const auto& other) {
-                         return one->idle_since.value_or(TimePoint::max()) <
-                                other->idle_since.value_or(TimePoint::max());
+                         return one->idle_sequence.value_or(kBusy) <
+                                other->idle_sequence.value_or(kBusy);
                        });
-  if (longest_idle == this->connections.end() || !(*longest_idle)->idle_since) {
+  if (longest_idle == this->connections.end() ||
+      !(*longest_idle)->idle_sequence) {
     return false;
   }
   // Its coroutine ends and removes it.
-  (*longest_idle)->idle_since.reset();
+  (*longest_idle)->idle_sequence.reset();
   (*longest_idle)->stream.close();
   return true;
 }
