--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -138,7 +138,7 @@
       return;
     }
     if (this->stopping && signal == SIGTERM && this->is_stop_bounded) {
-      acacia::LogEvent("already_stopping");
+      acacia::LogEvent("already_stopping").With("signal", "SIGTERM");
       return;
     }
     if (this->stopping) {
--- a/src/process_setup.cc
+++ b/src/process_setup.cc
@@ -20,7 +20,7 @@
 // Runs before the initialization of the shared libraries, which takes most of
 // the time from exec to main.
 [[gnu::section(".preinit_array"),
-  gnu::used]] void (*const ignore_reload_signal)() = IgnoreReloadSignal;
+  gnu::used]] void (*const kIgnoreReloadSignal)() = IgnoreReloadSignal;
 
 }  // namespace
 
