Take the machine's limits from the environment

What happened: the settings template had two new placeholders. Without either, bodies are bounded as on a machine of 256 MB, and the process's own limit of descriptors holds.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -270,9 +270,17 @@
     std::cerr << acacia::DescribeAll(settings.error());
     return kExitUsage;
   }
+  const auto applied = acacia::ApplyEnvironment(
+      [](const char* name) { return std::getenv(name); }, *settings);
+  if (!applied) {
+    std::cerr << acacia::DescribeAll(applied.error());
+    return kExitUsage;
+  }
   acacia::StartLogging(argv[0]);
-  if (settings->max_descriptors == 0) {
-    settings->max_descriptors = acacia::DescriptorLimit();
+  const std::uint32_t limit = acacia::DescriptorLimit();
+  if (settings->max_descriptors == 0 ||
+      (limit > 0 && limit < settings->max_descriptors)) {
+    settings->max_descriptors = limit;
   }
   return Serve(file, *settings, signals);
 }
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -1,5 +1,8 @@
 #include "src/settings.h"
 
+#include <charconv>
+#include <string_view>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -184,6 +187,35 @@
       });
 }
 
+tl::expected<void, UserErrors> ApplyEnvironment(
+    const std::function<const char*(const char* name)>& get,
+    schema::EntrySettingsT& settings) {
+  UserErrors mistakes;
+  const auto apply = [&](const char* name, std::uint32_t& setting) {
+    const char* value = get(name);
+    if (setting != 0 || value == nullptr) {
+      return;
+    }
+    const std::string_view text(value);
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, setting);
+    if (parsed.ec != std::errc() || parsed.ptr != end || setting == 0) {
+      mistakes.push_back({"environment", 0, name,
+                          "\"" + std::string(text) + "\" is out of range",
+                          "write a whole number above 0"});
+    }
+  };
+  apply("ACACIA_MEMORY_MB", settings.memory_mb);
+  apply("ACACIA_MAX_DESCRIPTORS", settings.max_descriptors);
+  if (!mistakes.empty()) {
+    return tl::unexpected(std::move(mistakes));
+  }
+  if (settings.memory_mb == 0) {
+    settings.memory_mb = kDefaultMemoryMb;
+  }
+  return {};
+}
+
 tl::expected<schema::AgentSettingsT, UserErrors> ReadAgentSettings(
     const std::string& file) {
   return ReadChecked<schema::AgentSettings>(
--- a/src/settings.h
+++ b/src/settings.h
@@ -3,6 +3,8 @@
 #ifndef SRC_SETTINGS_H_
 #define SRC_SETTINGS_H_
 
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -16,6 +18,14 @@
 // addresses that are not of the form "ip:port".
 tl::expected<schema::EntrySettingsT, UserErrors> ReadEntrySettings(
     const std::string& file);
+// Fills in the limits of the machine that the settings leave open from the
+// environment: ACACIA_MEMORY_MB and ACACIA_MAX_DESCRIPTORS, whole numbers above
+// 0. Without these, `memory_mb` is kDefaultMemoryMb and `max_descriptors` stays
+// 0. `get` returns the value of a variable, or null.
+inline constexpr std::uint32_t kDefaultMemoryMb = 256;
+tl::expected<void, UserErrors> ApplyEnvironment(
+    const std::function<const char*(const char* name)>& get,
+    schema::EntrySettingsT& settings);
 tl::expected<schema::AgentSettingsT, UserErrors> ReadAgentSettings(
     const std::string& file);
 tl::expected<schema::PlatformStandinSettingsT, UserErrors>
--- a/test/error/settings_test.cc
+++ b/test/error/settings_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <map>
 
 namespace acacia {
 namespace {
@@ -98,5 +99,34 @@
   CHECK_FALSE(read(common + "," + host + R"(,"retry_budget_window_s":0}})"));
 }
 
+TEST_CASE("the environment gives the limits that the settings leave open") {
+  std::map<std::string, std::string> variables;
+  const auto get = [&](const char* name) -> const char* {
+    const auto found = variables.find(name);
+    return found == variables.end() ? nullptr : found->second.c_str();
+  };
+  schema::EntrySettingsT settings;
+  REQUIRE(ApplyEnvironment(get, settings));
+  CHECK(settings.memory_mb == kDefaultMemoryMb);
+  CHECK(settings.max_descriptors == 0);
+  settings.memory_mb = 0;
+  variables = {{"ACACIA_MEMORY_MB", "160"}, {"ACACIA_MAX_DESCRIPTORS", "4100"}};
+  REQUIRE(ApplyEnvironment(get, settings));
+  CHECK(settings.memory_mb == 160);
+  CHECK(settings.max_descriptors == 4100);
+  variables = {{"ACACIA_MEMORY_MB", "512"}};
+  REQUIRE(ApplyEnvironment(get, settings));
+  CHECK(settings.memory_mb == 160);
+  for (const std::string odd :
+       {"", "0", "-1", "1.5", "160 MB", "99999999999"}) {
+    INFO(odd);
+    variables = {{"ACACIA_MEMORY_MB", odd}, {"ACACIA_MAX_DESCRIPTORS", odd}};
+    schema::EntrySettingsT fresh;
+    const auto applied = ApplyEnvironment(get, fresh);
+    REQUIRE_FALSE(applied);
+    CHECK(applied.error().size() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace acacia
