--- a/src/acacia_agent_main.cc
+++ b/src/acacia_agent_main.cc
@@ -6,6 +6,7 @@
 #include "src/agent_server.h"
 #include "src/command_line.h"
 #include "src/log_event.h"
+#include "src/process_setup.h"
 #include "src/settings.h"
 
 namespace acacia {
@@ -84,5 +85,6 @@
 }  // namespace acacia
 
 int main(int argc, char** argv) {
+  acacia::PrepareProcess();
   return acacia::Main(argc, argv);
 }
--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -21,6 +21,7 @@
 #include "src/host_control.h"
 #include "src/log_event.h"
 #include "src/log_writer.h"
+#include "src/process_setup.h"
 #include "src/settings.h"
 
 namespace {
@@ -227,6 +228,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  acacia::PrepareProcess();
   const CommandLine line = ParseCommandLine(argc, argv);
   if (line.values.count("help") > 0) {
     std::cout << line.description;
--- /dev/null
+++ b/test/host_entry.h
@@ -0,0 +1,214 @@
+// Runs acacia-entry as a real process between stand-ins of the host platform's
+// store and of its backend servers, all on loopback addresses.
+#ifndef TEST_HOST_ENTRY_H_
+#define TEST_HOST_ENTRY_H_
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/base64.h"
+#include "test/process_fleet.h"
+#include "test/proxy_fixture.h"
+
+namespace acacia {
+
+// The platform's store with rows that never change.
+class HostStore {
+ public:
+  using Rows = std::vector<std::pair<std::string, std::string>>;
+
+  HostStore(std::string configuration, const Rows& registrations)
+      : configuration(std::move(configuration)),
+        registrations(registrations),
+        listener([this](TextStream& stream) { this->Serve(stream); }) {}
+  ~HostStore() {
+    const std::lock_guard lock(this->mutex);
+    this->stopping = true;
+    this->stopped.notify_all();
+  }
+  HostStore(const HostStore&) = delete;
+  HostStore& operator=(const HostStore&) = delete;
+
+  std::string Address() const { return this->listener.Address(); }
+
+ private:
+  static std::string RowsAsJson(const std::string& table, const Rows& rows) {
+    std::string list;
+    for (const auto& [key, value] : rows) {
+      list += std::string(list.empty() ? "" : ",") + R"({"table":")" + table +
+              R"(","part":"","key":")" + key + R"(","ver":1,"value":")" +
+              EncodeBase64(value) + R"("})";
+    }
+    return R"({"ver":1,"nowS":1,"hasMore":false,"rows":[)" + list + "]}";
+  }
+
+  std::string Answer(const std::string& request) {
+    if (request.find("rows-feed") != std::string::npos) {
+      std::unique_lock lock(this->mutex);
+      this->stopped.wait_for(lock, std::chrono::seconds(7),
+                             [this] { return this->stopping; });
+      return RowsAsJson("", {});
+    }
+    if (request.find("table=op") != std::string::npos) {
+      return RowsAsJson("op", {{"config", this->configuration}});
+    }
+    if (request.find("table=servers") != std::string::npos) {
+      return RowsAsJson("servers", this->registrations);
+    }
+    return RowsAsJson("", {});
+  }
+
+  void Serve(TextStream& stream) {
+    for (std::string request = stream.ReadMessage(); !request.empty();
+         request = stream.ReadMessage()) {
+      if (!stream.Send(Ok(this->Answer(request)))) {
+        return;
+      }
+    }
+  }
+
+  const std::string configuration;
+  const Rows registrations;
+  std::mutex mutex;
+  std::condition_variable stopped;
+  bool stopping = false;
+  ThreadedListener listener;
+};
+
+// One entry with a route /work/ of the given kind to a service of two names for
+// the same scripted backend server.
+class HostEntry {
+ public:
+  explicit HostEntry(BackendScript script,
+                     const std::string& kind = "unsafe",
+                     const std::string& more_settings = "")
+      : backend([script = std::move(script)](TextStream& stream) {
+          for (;;) {
+            const std::string request = stream.ReadMessage();
+            if (request.empty() || !script(stream, request)) {
+              return;
+            }
+          }
+        }),
+        store(Configuration(kind),
+              {{"i-1", this->Registration()}, {"i-2", this->Registration()}}) {
+    std::string pattern =
+        std::filesystem::temp_directory_path() / "host-entry-XXXXXX";
+    this->folder = mkdtemp(pattern.data());
+    this->callers = this->FreeAddress();
+    this->lookups = this->FreeAddress();
+    this->readiness = this->FreeAddress();
+    const std::string settings =
+        R"({"instance": "e1", "failure_domain": "a", "region": "r",)"
+        R"("worker_threads": 1, "answer_lifetime_ms": 300,)"
+        R"("replayable_body_bytes": 1048576, "buffered_answer_bytes": 262144,)"
+        R"("caller_listen": ")" +
+        this->callers + R"(", "operator_listen": ")" + this->FreeAddress() +
+        R"(", "host_platform": {"store_address": ")" + this->store.Address() +
+        R"(", "lookup_listen": ")" + this->lookups + R"(", "ready_listen": ")" +
+        this->readiness + R"(", "peer_listen": ")" + this->FreeAddress() +
+        R"("})" + (more_settings.empty() ? "" : ", " + more_settings) + "}";
+    std::ofstream(this->SettingsFile()) << settings;
+  }
+  ~HostEntry() {
+    this->process.reset();
+    std::filesystem::remove_all(this->folder);
+  }
+  HostEntry(const HostEntry&) = delete;
+  HostEntry& operator=(const HostEntry&) = delete;
+
+  std::string SettingsFile() const { return this->folder + "/entry.json"; }
+  std::vector<std::string> Command() const {
+    return {ACACIA_BINARY_DIR "/acacia-entry", "--settings",
+            this->SettingsFile()};
+  }
+  void Start() {
+    this->process =
+        std::make_unique<Process>(this->Command(), this->folder + "/log");
+  }
+  // The program writes its log to the descriptor `output`.
+  void StartWithOutput(int output) {
+    this->process = std::make_unique<Process>(this->Command(), output);
+  }
+  bool IsReady() const {
+    return SendHttpRequest(this->readiness, "GET", "/acaciaswitch/ready")
+               .status == 200;
+  }
+  void AwaitReady() const {
+    Await("the entry to be ready", [this] { return this->IsReady(); });
+  }
+
+  TextStream Connect() { return this->ConnectTo(this->callers); }
+  TextStream ConnectTo(const std::string& address) {
+    Tcp::socket socket(this->context);
+    const std::size_t colon = address.find(':');
+    socket.connect(
+        {boost::asio::ip::make_address(address.substr(0, colon)),
+         static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+    return TextStream(std::move(socket));
+  }
+
+  static std::string Head(const std::string& id,
+                          std::size_t body_bytes,
+                          int deadline_ms = 8000) {
+    return "POST /work/x HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: " +
+           id + "\r\nX-Acaciaswitch-Deadline-Ms: " +
+           std::to_string(deadline_ms) +
+           "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n";
+  }
+  // Answers with `body` as the backend server that was asked.
+  static std::string Answer(const std::string& request,
+                            const std::string& body = "done") {
+    return "HTTP/1.1 200 OK\r\nX-Acaciaswitch-Request-Id: " +
+           Field(request, "X-Acaciaswitch-Request-Id") +
+           "\r\nX-Acaciaswitch-Response-Signature: s\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+
+  std::string folder;
+  std::string callers;
+  std::string lookups;
+  std::string readiness;
+  ThreadedListener backend;
+  HostStore store;
+  std::unique_ptr<Process> process;
+
+ private:
+  static std::string Configuration(const std::string& kind) {
+    return R"({"version":"r1","resources":[)"
+           R"({"resourceKind":"services","metadata":{"name":"kehto"},)"
+           R"("spec":{"healthPath":"/health","maxConns":300}},)"
+           R"({"resourceKind":"routes","metadata":{"name":"work"},)"
+           R"("spec":{"host":"h","prefix":"/work/","service":"kehto",)"
+           R"("kind":")" +
+           kind + R"(","maxAttempts":2,"timeoutS":8}}]})";
+  }
+  std::string Registration() const {
+    return R"({"service":"kehto","address":")" + this->backend.Address() +
+           R"(","zone":"a","version":"1","slots":500,"state":"ready",)"
+           R"("coldLeftS":0,"seq":1,"born":1})";
+  }
+  std::string FreeAddress() {
+    Tcp::acceptor acceptor(this->context, Loopback(0));
+    std::uint16_t port = acceptor.local_endpoint().port();
+    while (!this->ports.insert(port).second) {
+      port = Tcp::acceptor(this->context, Loopback(0)).local_endpoint().port();
+    }
+    return "127.0.0.1:" + std::to_string(port);
+  }
+
+  boost::asio::io_context context;
+  std::set<std::uint16_t> ports;
+};
+
+}  // namespace acacia
+
+#endif  // TEST_HOST_ENTRY_H_
--- /dev/null
+++ b/test/integration/entry_process_test.cc
@@ -0,0 +1,42 @@
+// The acacia-entry process on the host platform: its signals, its output and
+// the limits of the machine.
+#include <unistd.h>
+
+#include <array>
+
+#include "test/host_entry.h"
+
+namespace acacia {
+namespace {
+
+bool Echo(TextStream& stream, const std::string& request) {
+  return stream.Send(HostEntry::Answer(request));
+}
+
+int StatusOf(const std::string& answer) {
+  return answer.size() < 12 ? 0 : std::stoi(answer.substr(9, 3));
+}
+
+// Guards FAULT and LOST: the entry was ended by SIGPIPE, with all requests in
+// flight, when the reader of its log went away.
+TEST_CASE("An entry outlives the reader of its log") {
+  HostEntry entry(Echo);
+  std::array<int, 2> pipe{};
+  REQUIRE(::pipe2(pipe.data(), O_CLOEXEC) == 0);
+  entry.StartWithOutput(pipe[1]);
+  ::close(pipe[1]);
+  entry.AwaitReady();
+  ::close(pipe[0]);
+  // Enough log lines for several writes.
+  for (int i = 0; i < 200; ++i) {
+    TextStream caller = entry.Connect();
+    caller.Send(HostEntry::Head("r" + std::to_string(i), 2) + "hi");
+    REQUIRE(StatusOf(caller.ReadMessage()) == 200);
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  CHECK_FALSE(entry.process->HasEnded());
+  CHECK(entry.IsReady());
+}
+
+}  // namespace
+}  // namespace acacia
