--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -59,28 +59,36 @@
 
 // The first SIGTERM or SIGINT starts the graceful shutdown, the second ends the
 // process at once. SIGHUP or a change of the settings file makes the program
-// read the settings again.
+// read the settings again. Signals that arrive before Start are handled then.
 class SignalHandler {
  public:
-  SignalHandler(acacia::EntryServer& server,
-                std::string file,
-                std::function<void()> reload)
+  // Must be constructed before the settings file is read, so that no change of
+  // the file is missed.
+  explicit SignalHandler(std::string file)
       : signals(context, SIGTERM, SIGINT, SIGHUP),
         file_timer(context),
-        server(server),
         file(std::move(file)),
-        last_write(this->LastWriteTime()),
-        reload(std::move(reload)) {
+        last_write(this->LastWriteTime()) {}
+  ~SignalHandler() { this->Stop(); }
+  SignalHandler(const SignalHandler&) = delete;
+  SignalHandler& operator=(const SignalHandler&) = delete;
+
+  // `server` and what `reload` uses must live until Stop.
+  void Start(acacia::EntryServer& server, std::function<void()> reload) {
+    this->server = &server;
+    this->reload = std::move(reload);
     this->AwaitSignal();
     this->WatchFile();
     this->thread = std::thread([this] { this->context.run(); });
   }
-  ~SignalHandler() {
+
+  // Handles no further signals.
+  void Stop() {
     this->context.stop();
-    this->thread.join();
+    if (this->thread.joinable()) {
+      this->thread.join();
+    }
   }
-  SignalHandler(const SignalHandler&) = delete;
-  SignalHandler& operator=(const SignalHandler&) = delete;
 
  private:
   void AwaitSignal() {
@@ -132,13 +140,13 @@
       std::_Exit(kExitFailure);
     }
     this->stopping = true;
-    this->server.BeginStop();
+    this->server->BeginStop();
   }
 
   boost::asio::io_context context;
   boost::asio::signal_set signals;
   boost::asio::steady_timer file_timer;
-  acacia::EntryServer& server;
+  acacia::EntryServer* server = nullptr;
   const std::string file;
   std::filesystem::file_time_type last_write;
   std::function<void()> reload;
@@ -191,7 +199,8 @@
 }
 
 int Serve(const std::string& file,
-          const acacia::schema::EntrySettingsT& settings) {
+          const acacia::schema::EntrySettingsT& settings,
+          SignalHandler& signals) {
   const acacia::SystemClock clock;
   std::optional<acacia::HostAdapter> adapter;
   if (settings.host_platform) {
@@ -212,8 +221,7 @@
         .With("reason", started.error());
     return kExitFailure;
   }
-  const SignalHandler signals(
-      server, file, [&] { Reload(file, control ? &*control : nullptr); });
+  signals.Start(server, [&] { Reload(file, control ? &*control : nullptr); });
   server.Wait();
   if (control) {
     // Connections that are still open at the end of the grace time would delay
@@ -222,6 +230,7 @@
     acacia::StandardLog().Flush();
     std::_Exit(0);
   }
+  signals.Stop();
   return 0;
 }
 
@@ -244,12 +253,13 @@
               << line.description;
     return kExitUsage;
   }
-  const auto settings =
-      acacia::ReadEntrySettings(line.values["settings"].as<std::string>());
+  const std::string file = line.values["settings"].as<std::string>();
+  SignalHandler signals(file);
+  const auto settings = acacia::ReadEntrySettings(file);
   if (!settings) {
     std::cerr << acacia::DescribeAll(settings.error());
     return kExitUsage;
   }
   acacia::StartLogging(argv[0]);
-  return Serve(line.values["settings"].as<std::string>(), *settings);
+  return Serve(file, *settings, signals);
 }
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -1,5 +1,6 @@
 // The acacia-entry process on the host platform: its signals, its output and
 // the limits of the machine.
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
@@ -38,5 +39,31 @@
   CHECK(entry.IsReady());
 }
 
+std::string ReadFile(const std::string& file) {
+  std::ifstream in(file);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+// Guards FAULT: a SIGHUP before the signals were handled ended the process.
+TEST_CASE(
+    "An entry that is told to reload while it starts starts and reloads") {
+  HostEntry entry(Echo);
+  const std::string settings = ReadFile(entry.SettingsFile());
+  std::filesystem::remove(entry.SettingsFile());
+  // Opening a pipe for writing waits until the entry reads its settings.
+  REQUIRE(::mkfifo(entry.SettingsFile().c_str(), 0600) == 0);
+  entry.Start();
+  std::ofstream first(entry.SettingsFile());
+  entry.process->Signal(SIGHUP);
+  first << settings;
+  first.close();
+  entry.AwaitReady();
+  std::ofstream(entry.SettingsFile()) << settings;
+  Await("the settings to be read again", [&] {
+    return entry.process->Log().find("event=settings_in_force") !=
+           std::string::npos;
+  });
+}
+
 }  // namespace
 }  // namespace acacia
