--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "src/backend_connection.h"
+#include "src/buffer_budget.h"
 #include "src/clock.h"
 #include "src/dialect.h"
 #include "src/entry_metrics.h"
@@ -45,6 +46,8 @@
         dialect(std::move(dialect)),
         clock(clock),
         services(executor, registry, clock, std::move(factory)),
+        buffers(settings.memory_mb * kBytesPerMegabyte /
+                kBufferedMemoryDivisor),
         spans(settings.trace_file),
         request_id_prefix(settings.instance + "-" +
                           std::to_string(seed % kProcessTagCount)),
@@ -105,6 +108,8 @@
   RequestRegistry registry;
   ServiceTable services;
   ConnectionPool pool;
+  // Bodies of requests and answers.
+  BufferBudget buffers;
   EntryMetrics metrics;
   SpanWriter spans;
   // Starts every request id, so that ids differ between instances and restarts.
@@ -124,6 +129,10 @@
   std::function<void(schema::KeyClaimT, KeyClaimDone)> claim_key;
 
  private:
+  static constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
+  // Bodies get this part of the memory. The rest is for connections, tables,
+  // fragmentation, and bodies that are being moved to a larger buffer.
+  static constexpr std::size_t kBufferedMemoryDivisor = 3;
   static constexpr std::uint64_t kProcessTagCount = 1000000007;
   std::atomic<std::uint64_t> request_count{0};
   std::mutex random_mutex;
--- a/src/entry_metrics.cc
+++ b/src/entry_metrics.cc
@@ -56,6 +56,9 @@
   this->quarantined_requests =
       AddGauge(target, "acacia_quarantined_requests",
                "Requests refused because they crash backend servers.");
+  this->buffered_bytes =
+      AddGauge(target, "acacia_buffered_bytes",
+               "Memory held by the bodies of requests and answers.");
   this->refused_connections =
       &prometheus::BuildCounter()
            .Name("acacia_refused_connections_total")
--- a/src/entry_metrics.h
+++ b/src/entry_metrics.h
@@ -58,6 +58,7 @@
   prometheus::Gauge* agent_connected = nullptr;
   prometheus::Gauge* stopping = nullptr;
   prometheus::Gauge* quarantined_requests = nullptr;
+  prometheus::Gauge* buffered_bytes = nullptr;
   prometheus::Counter* refused_connections = nullptr;
 
  private:
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -327,6 +327,8 @@
   metrics.backend_connections->Set(this->context.pool.ConnectionCount());
   metrics.in_flight->Set(this->context.active_requests.load());
   metrics.stopping->Set(this->stop_begun.load() ? 1 : 0);
+  metrics.buffered_bytes->Set(
+      static_cast<double>(this->context.buffers.HeldBytes()));
   metrics.quarantined_requests->Set(static_cast<double>(
       this->quarantine.QuarantinedCount(this->clock.Now())));
 }
--- a/src/error_kind.cc
+++ b/src/error_kind.cc
@@ -35,6 +35,8 @@
     {kNotReady, "not_ready", 503, kNotRun, true,
      "This entry has no configuration yet."},
     {kStopping, "stopping", 503, kNotRun, true, "This entry is stopping."},
+    {kBuffersFull, "buffers_full", 503, kNotRun, true,
+     "This entry has no memory left for the request's body."},
     {kDuplicateKey, "duplicate_key", 409, kNotRun, false,
      "A request with this Idempotency-Key was already accepted."},
     {kKeyUnverifiable, "key_unverifiable", 503, kNotRun, true,
--- a/src/error_kind.h
+++ b/src/error_kind.h
@@ -23,6 +23,7 @@
   kNoBackend,
   kNotReady,
   kStopping,
+  kBuffersFull,
   kDuplicateKey,
   kKeyUnverifiable,
   kRetryBudgetSpent,
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -1,5 +1,6 @@
 // The part of ProxyAttempt that handles the answer: it reads the head, detects
 // refusals and answers to other requests, and relays the answer to the caller.
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
 #include <charconv>
@@ -134,6 +135,11 @@
   std::string body;
   std::vector<char> scratch(kRelayBytes);
   while (!this->parser->is_done()) {
+    const std::size_t wanted = body.size() + scratch.size();
+    if (!this->ReserveAnswer(body,
+                             length ? std::min(*length, wanted) : wanted)) {
+      break;
+    }
     const BodyReadResult piece = co_await ReadSomeBody<false>(
         this->connection->socket, this->connection->buffer, *this->parser,
         net::buffer(scratch));
@@ -151,6 +157,22 @@
   co_return std::nullopt;
 }
 
+// Makes room for `bytes` in the buffer of the answer. Returns false if no
+// memory is left: the rest is then passed on as it comes.
+bool ProxyAttempt::ReserveAnswer(std::string& body, std::size_t bytes) {
+  if (bytes <= body.capacity()) {
+    return true;
+  }
+  const std::size_t doubled = std::min<std::size_t>(
+      2 * body.capacity(), this->context.settings.buffered_answer_bytes);
+  const std::size_t capacity = std::max(bytes, doubled);
+  if (!this->buffer_share.GrowTo(capacity)) {
+    return false;
+  }
+  body.reserve(capacity);
+  return true;
+}
+
 net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ParseAnswerHead() {
   boost::beast::flat_buffer& buffer = this->connection->buffer;
   this->parser = std::make_unique<Parser>();
@@ -306,9 +328,12 @@
   std::vector<char> scratch(kRelayBytes);
   BodyReadResult piece;
   if (this->buffered_body) {
-    // The beginning of an answer that exceeds buffered_answer_bytes.
+    // The beginning of an answer that exceeds buffered_answer_bytes, or the
+    // memory that was left for it.
     piece.bytes = this->buffered_body->size();
     scratch.assign(this->buffered_body->begin(), this->buffered_body->end());
+    scratch.resize(std::max(scratch.size(), kRelayBytes));
+    *this->buffered_body = std::string();
   } else {
     piece = ParseBufferedBody<false>(this->connection->buffer, *this->parser,
                                      net::buffer(scratch));
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -28,18 +28,37 @@
 
 }  // namespace
 
+bool Exchange::ReserveBody(std::size_t bytes) {
+  if (bytes <= this->body_prefix.capacity()) {
+    return true;
+  }
+  const std::size_t doubled =
+      std::min(2 * this->body_prefix.capacity(), this->replayable_bytes);
+  const std::size_t capacity = std::max(bytes, doubled);
+  if (!this->body_share->GrowTo(capacity)) {
+    return false;
+  }
+  this->body_prefix.reserve(capacity);
+  return true;
+}
+
 bool Exchange::AddBodyBytes(std::string_view piece, bool is_last) {
   this->body_bytes += piece.size();
   this->body_complete = is_last;
   if (this->body_bytes > this->max_body_bytes) {
     return false;
   }
-  if (this->exceeds_replay_buffer ||
-      this->body_bytes > this->replayable_bytes) {
+  if (this->exceeds_replay_buffer) {
+    return true;
+  }
+  if (this->body_bytes > this->replayable_bytes ||
+      !this->ReserveBody(this->body_bytes)) {
     this->exceeds_replay_buffer = true;
-  } else {
-    this->body_prefix.append(piece);
+    this->body_prefix = std::string();
+    this->body_share->Release();
+    return true;
   }
+  this->body_prefix.append(piece);
   return true;
 }
 
@@ -55,7 +74,8 @@
                  std::to_string(start.request.Value()) + "." +
                  std::to_string(start.attempt.Value())),
       trace(exchange.trace),
-      start_time(context.clock.Now()) {
+      start_time(context.clock.Now()),
+      buffer_share(context.buffers) {
   if (context.dialect.forwards_request_id) {
     this->request_id = exchange.caller_request_id;
   }
@@ -304,11 +324,11 @@
 
 net::awaitable<bool> ProxyAttempt::UploadBody() {
   std::vector<char> scratch(kRelayBytes);
-  std::string piece = this->exchange.body_prefix;
+  net::const_buffer piece = net::buffer(this->exchange.body_prefix);
   for (;;) {
-    if (!piece.empty()) {
+    if (piece.size() > 0) {
       this->RestartProgressTimeout();
-      if (!co_await this->SendPiece(net::buffer(piece))) {
+      if (!co_await this->SendPiece(piece)) {
         co_return false;
       }
     }
@@ -323,7 +343,7 @@
       this->owner.OnCallerFailed(read.error());
       co_return false;
     }
-    piece.assign(scratch.data(), *read);
+    piece = net::buffer(scratch.data(), *read);
   }
   if (this->exchange.is_chunked) {
     const auto [error, count] = co_await net::async_write(
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "src/backend_connection.h"
+#include "src/buffer_budget.h"
 #include "src/caller_connection.h"
 #include "src/dispatcher.h"
 #include "src/entry_context.h"
@@ -60,11 +61,13 @@
   // The part of the body that has been read and is kept, up to
   // replayable_bytes.
   std::string body_prefix;
+  // Holds the capacity of body_prefix.
+  std::optional<BufferShare> body_share;
   // The body has been read to its end.
   bool body_complete = true;
   std::uint64_t body_bytes = 0;
-  // The body is larger than replayable_bytes; the bytes beyond the prefix are
-  // not kept, so the body cannot be sent again.
+  // The body is larger than replayable_bytes, or than the memory that was left
+  // for it. It is not kept, so it cannot be sent again.
   bool exceeds_replay_buffer = false;
   // Number of attempts that are still uploading the body.
   int active_uploads = 0;
@@ -75,6 +78,8 @@
 
   // The whole request can be sent to another backend server.
   bool IsReplayable() const { return !this->exceeds_replay_buffer; }
+  // Makes room for a prefix of `bytes`. Returns false if no memory is left.
+  bool ReserveBody(std::size_t bytes);
   // Records a piece of the body. Returns false if the body exceeds the route's
   // limit.
   bool AddBodyBytes(std::string_view piece, bool is_last);
@@ -179,6 +184,7 @@
   boost::asio::awaitable<bool> SkipAnswer();
   bool IsForOtherRequest() const;
   boost::asio::awaitable<std::optional<AttemptResult>> BufferAnswer();
+  bool ReserveAnswer(std::string& body, std::size_t bytes);
   boost::asio::awaitable<AttemptResult> RelayBuffered(
       boost::beast::http::response<boost::beast::http::buffer_body> answer);
   void RecordAnswerHeaders();
@@ -230,6 +236,8 @@
   // The part of the answer's body that was read before relaying: all of it, or
   // the beginning of one that exceeds buffered_answer_bytes.
   std::optional<std::string> buffered_body;
+  // Holds the capacity of buffered_body.
+  BufferShare buffer_share;
   BackendConnectionPtr connection;
   std::unique_ptr<Parser> parser;
 };
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -25,6 +25,7 @@
 constexpr int kNotFound = 404;
 // Other entries can take the request at once; the spread keeps callers that are
 // refused together apart.
+constexpr double kMinRetryAfterShare = 0.5;
 constexpr Duration kMaxStoppingRetryAfter = std::chrono::milliseconds(200);
 
 // Counts the request as active for the lifetime of this object.
@@ -224,6 +225,7 @@
                                     const CallerOptions& options) {
   const auto& head = this->caller.Head();
   Exchange& prepared = this->exchange.emplace();
+  prepared.body_share.emplace(this->context.buffers);
   prepared.id = this->context.NextRequest();
   const Duration allowed =
       std::min(route.deadline, options.deadline.value_or(route.deadline));
@@ -280,11 +282,24 @@
 // occupies no slot while a slow caller sends it, and can be retried.
 net::awaitable<std::optional<ErrorKind>> ProxyExchange::BufferBody() {
   Exchange& request = *this->exchange;
+  // The whole body at once, so that uploads do not keep one another from being
+  // completed.
+  const std::size_t declared = std::min<std::uint64_t>(
+      this->caller.ContentLength(), request.replayable_bytes);
+  if (!request.ReserveBody(declared)) {
+    co_return ErrorKind::kBuffersFull;
+  }
   std::vector<char> scratch;
   while (!request.body_complete &&
          request.body_prefix.size() < request.replayable_bytes) {
     scratch.resize(std::min(
         kBodyReadBytes, request.replayable_bytes - request.body_prefix.size()));
+    const bool has_room =
+        !request.is_chunked ||
+        request.ReserveBody(request.body_prefix.size() + scratch.size());
+    if (!has_room) {
+      co_return ErrorKind::kBuffersFull;
+    }
     this->EnableCallerTimeout(true);
     this->is_reading_body = true;
     const auto read = co_await this->caller.ReadBody(net::buffer(scratch));
@@ -347,6 +362,11 @@
 // Logs the refusal and writes the error answer. Keeps the connection only if
 // the rest of the request is small and well-formed.
 net::awaitable<bool> ProxyExchange::Refuse(ErrorKind kind) {
+  if (kind == ErrorKind::kBuffersFull) {
+    this->retry_after = std::chrono::duration_cast<Duration>(
+        kDefaultRetryAfter *
+        (kMinRetryAfterShare + this->context.RandomFraction()));
+  }
   if (kind == ErrorKind::kStopping) {
     this->retry_after = std::chrono::duration_cast<Duration>(
         this->context.RandomFraction() * kMaxStoppingRetryAfter);
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <sstream>
 
 #include "test/host_entry.h"
 
@@ -177,5 +178,90 @@
   CHECK(arrived == std::set<std::string>{"early", "hangs", "last", "urgent"});
 }
 
+// Waits until the process has used no processor time for a second.
+void AwaitIdle(const Process& process) {
+  constexpr int kIdlePolls = 20;
+  const std::string file = "/proc/" + std::to_string(process.Pid()) + "/stat";
+  std::string before;
+  int idle_polls = 0;
+  Await("the entry to have nothing to do", [&] {
+    std::istringstream fields(ReadFile(file));
+    std::string used;
+    // User and system time are the 14th and 15th field.
+    for (int i = 1; i <= 15; ++i) {
+      std::string field;
+      fields >> field;
+      used += i >= 14 ? field + " " : "";
+    }
+    idle_polls = used == before ? idle_polls + 1 : 0;
+    before = used;
+    return idle_polls >= kIdlePolls;
+  });
+}
+
+// In megabytes, since the process began.
+std::size_t PeakMemory(const Process& process) {
+  std::ifstream status("/proc/" + std::to_string(process.Pid()) + "/status");
+  std::string word;
+  while (status >> word && word != "VmHWM:") {
+  }
+  std::size_t kilobytes = 0;
+  status >> kilobytes;
+  return kilobytes / 1024;
+}
+
+// Guards FAULT and LOST: uploads that came at once took more memory than the
+// process may use.
+TEST_CASE("Uploads that come at once stay within the entry's memory") {
+  constexpr std::size_t kMemoryMb = 260;
+  constexpr std::size_t kUploads = 400;
+  constexpr std::size_t kThreads = 20;
+  const std::string body(1024 * 1024, 'x');
+  HostEntry entry(Echo, "upload",
+                  R"("memory_mb": )" + std::to_string(kMemoryMb));
+  entry.Start();
+  entry.AwaitReady();
+  std::atomic<std::size_t> begun{0};
+  std::atomic<bool> read{false};
+  std::atomic<int> served{0};
+  std::atomic<int> refused{0};
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&, i] {
+      std::vector<TextStream> callers;
+      for (std::size_t j = 0; j < kUploads / kThreads; ++j) {
+        callers.push_back(entry.Connect());
+        callers.back().Send(
+            HostEntry::Head("r" + std::to_string(i) + "-" + std::to_string(j),
+                            body.size(), 60000));
+        callers.back().Send(body.substr(1));
+        ++begun;
+      }
+      Await("all uploads to have been read", [&] { return read.load(); });
+      for (TextStream& caller : callers) {
+        SendLastByte(caller);
+        const std::string answer = caller.ReadMessage();
+        served += StatusOf(answer) == 200 ? 1 : 0;
+        refused += StatusOf(answer) == 503 ? 1 : 0;
+      }
+    });
+  }
+  Await("all uploads to be begun", [&] { return begun == kUploads; });
+  AwaitIdle(*entry.process);
+  read = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  CHECK(served > 0);
+  CHECK(refused > 0);
+  CHECK(served + refused == static_cast<int>(kUploads));
+  CHECK_FALSE(entry.process->HasEnded());
+  CHECK(PeakMemory(*entry.process) < kMemoryMb);
+  // What was held is free again.
+  TextStream caller = entry.Connect();
+  caller.Send(HostEntry::Head("after", body.size()) + body);
+  CHECK(StatusOf(caller.ReadMessage()) == 200);
+}
+
 }  // namespace
 }  // namespace acacia
