Prepare to follow the store before other entries can be heard

Callers of an entry that was being restarted lost it again: it ended with SIGSEGV. The entry opened its address for other entries before it made the followers of the store's tables, while a worker thread already ran, so that a datagram that names newer versions reached a follower that did not exist. Seen in 2 of 490 starts of real processes on one core with one sender.

Followers are now made before the listeners are opened, and the control starts before the entry's threads: nothing can run beside the start.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -221,13 +221,14 @@
   if (adapter) {
     control.emplace(settings, *adapter, server, clock);
   }
-  auto started = server.Start();
-  if (started && control) {
-    started = control->Start();
+  auto listening =
+      control ? control->Start() : tl::expected<void, std::string>();
+  if (listening) {
+    listening = server.Start();
   }
-  if (!started) {
+  if (!listening) {
     acacia::LogEvent("cannot_listen", acacia::LogSeverity::kError)
-        .With("reason", started.error());
+        .With("reason", listening.error());
     return kExitFailure;
   }
   signals.Start(server, adapter.has_value(),
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -203,16 +203,6 @@
 }
 
 tl::expected<void, std::string> HostControl::State::Start() {
-  for (const auto& [server, address] :
-       {std::pair(&this->lookups, &this->host.lookup_listen),
-        std::pair(&this->readiness, &this->host.ready_listen)}) {
-    if (auto listening = server->Listen(*address); !listening) {
-      return listening;
-    }
-  }
-  if (auto listening = this->peers.Listen(this->host.peer_listen); !listening) {
-    return listening;
-  }
   const auto each_configuration = [this](const TableRows& rows) {
     for (const TableRow& row : rows.rows) {
       this->OnConfigurationRow(row);
@@ -229,6 +219,17 @@
                {[this](const TableRows& rows) { this->OnMembers(rows, true); },
                 [this](const TableRows& rows) { this->OnMembers(rows, false); },
                 [](bool) {}});
+  // What other entries send, and what callers ask, uses the followers.
+  for (const auto& [server, address] :
+       {std::pair(&this->lookups, &this->host.lookup_listen),
+        std::pair(&this->readiness, &this->host.ready_listen)}) {
+    if (auto listening = server->Listen(*address); !listening) {
+      return listening;
+    }
+  }
+  if (auto listening = this->peers.Listen(this->host.peer_listen); !listening) {
+    return listening;
+  }
   for (const auto& follower : this->followers) {
     follower->Start();
   }
--- a/src/host_control.h
+++ b/src/host_control.h
@@ -56,8 +56,9 @@
               const Clock& clock);
   ~HostControl();
 
-  // Opens the listeners and starts to follow the store. The error names the
-  // listener's failure.
+  // Opens the listeners and starts to follow the store. Must be called before
+  // EntryServer::Start, whose threads run this object's work. The error names
+  // the listener's failure.
   tl::expected<void, std::string> Start();
 
   // Applies newer settings, except for addresses, which only change at the
