Wait at the start for an address that comes to the machine later

This passes by itself, like an address that is in use for a moment, and is now waited for in the same place.

--- a/src/listener.cc
+++ b/src/listener.cc
@@ -17,17 +17,22 @@
 constexpr std::chrono::milliseconds kOpenRetryDelay{100};
 constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
 
+bool MayPass(const error_code& error) {
+  return error == boost::asio::error::address_in_use ||
+         error == boost::system::errc::address_not_available;
+}
+
 }  // namespace
 
-error_code OpenWhenFree(const std::string& address,
-                        const std::function<error_code()>& open) {
+error_code OpenWhenAvailable(const std::string& address,
+                             const std::function<error_code()>& open) {
   error_code error = open();
-  for (int attempt = 1; error == boost::asio::error::address_in_use &&
-                        attempt < kMaxOpenAttempts;
+  for (int attempt = 1; MayPass(error) && attempt < kMaxOpenAttempts;
        ++attempt) {
     if (attempt == 1) {
-      LogEvent("address_in_use", LogSeverity::kWarning)
-          .With("address", address);
+      LogEvent("address_unavailable", LogSeverity::kWarning)
+          .With("address", address)
+          .With("reason", error.message());
     }
     std::this_thread::sleep_for(kOpenRetryDelay);
     error = open();
@@ -48,7 +53,7 @@
     return tl::unexpected("\"" + address + "\" is not an address");
   }
   const Tcp::endpoint local(endpoint->address, endpoint->port);
-  const error_code error = OpenWhenFree(address, [&] {
+  const error_code error = OpenWhenAvailable(address, [&] {
     error_code failure;
     acceptor.close(failure);
     if (acceptor.open(local.protocol(), failure) ||
--- a/src/listener.h
+++ b/src/listener.h
@@ -12,10 +12,11 @@
 namespace acacia {
 
 // Calls `open` until it succeeds or fails for another reason than that its
-// address is in use, for some seconds at most. A process that is about to end
-// may hold the address, or, for a port that the system also gives to outgoing
-// connections, one of these. Blocks; `address` is for the log.
-boost::system::error_code OpenWhenFree(
+// address is in use or not on this machine, for some seconds at most. A process
+// that is about to end may hold the address, or, for a port that the system
+// also gives to outgoing connections, one of these; a machine that has just
+// started may get its address a moment later. Blocks; `address` is for the log.
+boost::system::error_code OpenWhenAvailable(
     const std::string& address,
     const std::function<boost::system::error_code()>& open);
 
@@ -24,8 +25,7 @@
 boost::asio::awaitable<void> AwaitAcceptRetry();
 
 // Binds `acceptor` to `address` ("ip:port"; port 0 selects a free port) and
-// listens. Waits for some seconds while the address is in use. The error names
-// the address and the reason.
+// listens by OpenWhenAvailable. The error names the address and the reason.
 tl::expected<void, std::string> OpenListener(
     boost::asio::ip::tcp::acceptor& acceptor,
     const std::string& address);
--- a/src/peer_transport.cc
+++ b/src/peer_transport.cc
@@ -94,7 +94,7 @@
   }
   const std::uint16_t port = this->acceptor.local_endpoint().port();
   const Udp::endpoint datagram(local.address, port);
-  const ErrorCode error = OpenWhenFree(ToText(local.address, port), [&] {
+  const ErrorCode error = OpenWhenAvailable(ToText(local.address, port), [&] {
     ErrorCode failure;
     this->datagrams.close(failure);
     if (this->datagrams.open(datagram.protocol(), failure) ||
--- a/test/correctness/listener_test.cc
+++ b/test/correctness/listener_test.cc
@@ -48,6 +48,19 @@
   release.join();
 }
 
+// Guards FAULT: an entry that was started on a machine without its address
+// ended at once.
+TEST_CASE("An address that comes to the machine later is waited for") {
+  int attempts = 0;
+  const auto error = OpenWhenAvailable("10.1.0.35:8144", [&] {
+    return ++attempts < 3 ? boost::system::errc::make_error_code(
+                                boost::system::errc::address_not_available)
+                          : boost::system::error_code();
+  });
+  CHECK_FALSE(error);
+  CHECK(attempts == 3);
+}
+
 TEST_CASE("An address that stays in use is an error that names it") {
   net::io_context context;
   Tcp::acceptor holder(context,
