Serve without the address for operators while something else holds it

Where port 9464 was taken, by another program or by another of the entry's own addresses, no entry came up: each waited 5 s and ended with exit code 1, at every start. Callers do not need this address. It is now opened last and, while it is not available, tried each second in the background.

--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -28,6 +28,8 @@
 constexpr int kDrainRoundsBeforeIdleClose = 4;
 // Wait for the final report to reach the agent before the process ends.
 constexpr std::chrono::milliseconds kFinalReportWait{200};
+// Between attempts to open the operators' address.
+constexpr std::chrono::seconds kOperatorListenInterval{1};
 constexpr std::uint32_t kFullPermille = 1000;
 
 std::uint64_t ChooseSeed(const schema::EntrySettingsT& settings) {
@@ -64,6 +66,7 @@
   std::vector<std::string> Explain(const ServiceName& service);
   void RefreshGauges();
   std::uint32_t LoadPermille() const;
+  net::awaitable<void> ListenForOperators();
   net::awaitable<void> RunHousekeeping();
   net::awaitable<void> Stop();
   net::awaitable<void> EndAdmission();
@@ -374,6 +377,17 @@
   this->callers.EndAdmission();
 }
 
+// Serving callers does not need the operators' address, so the entry does not
+// wait for it or end without it.
+net::awaitable<void> EntryServer::State::ListenForOperators() {
+  while (!this->operators.Listen(this->context.settings.operator_listen,
+                                 Availability::kRequired)) {
+    co_await this->Sleep(kOperatorListenInterval);
+  }
+  LogEvent("operators_served")
+      .With("address", this->context.settings.operator_listen);
+}
+
 net::awaitable<void> EntryServer::State::RunHousekeeping() {
   while (!this->stopped.load()) {
     co_await this->Sleep(kHousekeepingInterval);
@@ -497,13 +511,17 @@
 tl::expected<void, std::string> EntryServer::Start() {
   State& state = *this->state;
   const schema::EntrySettingsT& settings = state.context.settings;
-  auto listening = state.callers.Listen(settings.caller_listen);
-  if (listening) {
-    listening = state.operators.Listen(settings.operator_listen);
-  }
-  if (!listening) {
+  if (auto listening = state.callers.Listen(settings.caller_listen);
+      !listening) {
     return listening;
   }
+  const auto operators =
+      state.operators.Listen(settings.operator_listen, Availability::kRequired);
+  if (!operators) {
+    LogEvent("operators_not_served", LogSeverity::kWarning)
+        .With("reason", operators.error());
+    net::co_spawn(state.strand, state.ListenForOperators(), net::detached);
+  }
   {
     const std::lock_guard lock(state.mutex);
     state.RebuildSnapshot();
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -172,9 +172,10 @@
   this->Stop();
 }
 
-tl::expected<void, std::string> HttpServer::Listen(const std::string& address) {
+tl::expected<void, std::string> HttpServer::Listen(const std::string& address,
+                                                   Availability availability) {
   Tcp::acceptor& acceptor = this->state->acceptor;
-  auto opened = OpenListener(acceptor, address);
+  auto opened = OpenListener(acceptor, address, availability);
   if (!opened) {
     return opened;
   }
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 
 #include "src/http_message.h"
+#include "src/listener.h"
 
 namespace acacia {
 
@@ -39,7 +40,9 @@
 
   // Listens on `address` ("ip:port"; port 0 selects a free port) and serves.
   // The error names the address and the reason.
-  tl::expected<void, std::string> Listen(const std::string& address);
+  tl::expected<void, std::string> Listen(
+      const std::string& address,
+      Availability availability = Availability::kAwaited);
   std::uint16_t Port() const;
   // Closes the listener. Open connections continue to be served.
   void Stop();
--- a/src/listener.cc
+++ b/src/listener.cc
@@ -47,13 +47,14 @@
 }
 
 tl::expected<void, std::string> OpenListener(Tcp::acceptor& acceptor,
-                                             const std::string& address) {
+                                             const std::string& address,
+                                             Availability availability) {
   const auto endpoint = ParseSocketAddress(address);
   if (!endpoint) {
     return tl::unexpected("\"" + address + "\" is not an address");
   }
   const Tcp::endpoint local(endpoint->address, endpoint->port);
-  const error_code error = OpenWhenAvailable(address, [&] {
+  const auto open = [&] {
     error_code failure;
     acceptor.close(failure);
     if (acceptor.open(local.protocol(), failure) ||
@@ -63,7 +64,10 @@
     }
     acceptor.listen(Tcp::acceptor::max_listen_connections, failure);
     return failure;
-  });
+  };
+  const error_code error = availability == Availability::kAwaited
+                               ? OpenWhenAvailable(address, open)
+                               : open();
   if (error) {
     return tl::unexpected(address + ": " + error.message());
   }
--- a/src/listener.h
+++ b/src/listener.h
@@ -24,11 +24,16 @@
 // file descriptors until some have been closed.
 boost::asio::awaitable<void> AwaitAcceptRetry();
 
+// What to do while an address is not available.
+enum class Availability { kAwaited, kRequired };
+
 // Binds `acceptor` to `address` ("ip:port"; port 0 selects a free port) and
-// listens by OpenWhenAvailable. The error names the address and the reason.
+// listens. An address whose availability is awaited is opened by
+// OpenWhenAvailable. The error names the address and the reason.
 tl::expected<void, std::string> OpenListener(
     boost::asio::ip::tcp::acceptor& acceptor,
-    const std::string& address);
+    const std::string& address,
+    Availability availability = Availability::kAwaited);
 
 }  // namespace acacia
 
--- a/src/operator_server.cc
+++ b/src/operator_server.cc
@@ -124,8 +124,9 @@
 OperatorServer::~OperatorServer() = default;
 
 tl::expected<void, std::string> OperatorServer::Listen(
-    const std::string& address) {
-  return this->state->server.Listen(address);
+    const std::string& address,
+    Availability availability) {
+  return this->state->server.Listen(address, availability);
 }
 
 std::uint16_t OperatorServer::Port() const {
--- a/src/operator_server.h
+++ b/src/operator_server.h
@@ -47,7 +47,9 @@
 
   // Listens on `address` ("ip:port") and serves. The error names the address
   // and the reason.
-  tl::expected<void, std::string> Listen(const std::string& address);
+  tl::expected<void, std::string> Listen(
+      const std::string& address,
+      Availability availability = Availability::kAwaited);
 
   std::uint16_t Port() const;
 
--- a/test/host_entry.h
+++ b/test/host_entry.h
@@ -99,16 +99,18 @@
     this->callers = this->addresses.Take();
     this->lookups = this->addresses.Take();
     this->readiness = this->addresses.Take();
+    this->peers = this->addresses.Take();
+    this->operators = this->addresses.Take();
     const std::string settings =
         R"({"instance": "e1", "failure_domain": "a", "region": "r",)"
         R"("worker_threads": 1, "answer_lifetime_ms": 300,)"
         R"("replayable_body_bytes": 1048576, "buffered_answer_bytes": 262144,)"
         R"("caller_listen": ")" +
-        this->callers + R"(", "operator_listen": ")" + this->addresses.Take() +
+        this->callers + R"(", "operator_listen": ")" + this->operators +
         R"(", "host_platform": {"store_address": ")" + this->store.Address() +
         R"(", "lookup_listen": ")" + this->lookups + R"(", "ready_listen": ")" +
-        this->readiness + R"(", "peer_listen": ")" + this->addresses.Take() +
-        R"("})" + (more_settings.empty() ? "" : ", " + more_settings) + "}";
+        this->readiness + R"(", "peer_listen": ")" + this->peers + R"("})" +
+        (more_settings.empty() ? "" : ", " + more_settings) + "}";
     std::ofstream(this->SettingsFile()) << settings;
   }
   ~HostEntry() {
@@ -187,6 +189,8 @@
   std::string callers;
   std::string lookups;
   std::string readiness;
+  std::string peers;
+  std::string operators;
   ThreadedListener backend;
   HostStore store;
   std::unique_ptr<Process> process;
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <sstream>
 
+#include "src/socket_address.h"
 #include "test/host_entry.h"
 
 namespace acacia {
@@ -75,6 +76,38 @@
   });
 }
 
+// Guards FAULT: an entry ended where something else held the address for
+// operators, which callers do not need.
+TEST_CASE("An entry serves while something else holds the operators' address") {
+  HostEntry entry(Echo);
+  boost::asio::io_context context;
+  const SocketAddress operators = *ParseSocketAddress(entry.operators);
+  Tcp::acceptor holder(context, {operators.address, operators.port});
+  // The entry must not inherit it.
+  REQUIRE(::fcntl(holder.native_handle(), F_SETFD, FD_CLOEXEC) == 0);
+  entry.Start();
+  entry.AwaitReady();
+  TextStream caller = entry.Connect();
+  caller.Send(HostEntry::Head("r1", 2) + "hi");
+  CHECK(StatusOf(caller.ReadMessage()) == 200);
+  holder.close();
+  Await("the operators' address to be served", [&] {
+    return SendHttpRequest(entry.operators, "GET", "/ready").status == 200;
+  });
+}
+
+// Guards FAULT: where ports differ from day to day, the port of the address for
+// operators may be that of another address, which the entry cannot do without.
+TEST_CASE("An entry serves if another of its addresses is that for operators") {
+  HostEntry entry(Echo);
+  std::string settings = ReadFile(entry.SettingsFile());
+  settings.replace(settings.find(entry.operators), entry.operators.size(),
+                   entry.readiness);
+  std::ofstream(entry.SettingsFile()) << settings;
+  entry.Start();
+  entry.AwaitReady();
+}
+
 // Guards LOST: a second SIGTERM cut off the requests that the first lets end.
 TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
   std::promise<void> arrived;
