Wait at the start for settings that are still being written

An entry that was started while the platform wrote its settings read a file that was empty or ended in the middle, and ended with exit code 2. Such a file is now waited for, for up to 2 s; other mistakes still end the start at once. On the code before, the integration test ended with the entry.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -266,6 +266,8 @@
   }
   const std::string file = line.values["settings"].as<std::string>();
   SignalHandler signals(file);
+  acacia::AwaitWholeFile(
+      file, [](acacia::Duration pause) { std::this_thread::sleep_for(pause); });
   auto settings = acacia::ReadEntrySettings(file);
   if (!settings) {
     std::cerr << acacia::DescribeAll(settings.error());
--- a/src/json_lines.cc
+++ b/src/json_lines.cc
@@ -215,6 +215,7 @@
   }
   if (error) {
     this->has_syntax_error = true;
+    this->is_incomplete = error == json::error::incomplete;
     this->errors.push_back({this->file, handler.line, "",
                             "not JSON: " + error.message(),
                             SyntaxErrorHint(line)});
--- a/src/json_lines.h
+++ b/src/json_lines.h
@@ -21,6 +21,8 @@
   // Reading stops at a syntax error, so that is the last one.
   const UserErrors& Errors() const { return this->errors; }
   bool HasSyntaxError() const { return this->has_syntax_error; }
+  // The text is the beginning of JSON, or empty.
+  bool IsIncomplete() const { return this->is_incomplete; }
 
   // The line of the value, counted from 1. For an unknown path, the line of the
   // nearest enclosing value; 0 when nothing could be read.
@@ -37,6 +39,7 @@
   std::unordered_map<std::string, int> lines;
   UserErrors errors;
   bool has_syntax_error = false;
+  bool is_incomplete = false;
 };
 
 }  // namespace acacia
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -7,13 +7,18 @@
 #include <vector>
 
 #include "src/generated/settings_bfbs_generated.h"
+#include "src/json_lines.h"
 #include "src/json_schema.h"
+#include "src/log_event.h"
 #include "src/name.h"
 #include "src/socket_address.h"
 
 namespace acacia {
 namespace {
 
+constexpr std::chrono::milliseconds kFilePause{50};
+constexpr int kMaxFilePauses = 40;
+
 // A mistake in the value of one field. `hint` says how to correct it.
 struct Mistake {
   std::string field;
@@ -158,8 +163,23 @@
   return settings;
 }
 
+bool IsIncomplete(const std::string& file) {
+  const auto text = ReadTextFile(file);
+  return text && JsonLines(file, *text).IsIncomplete();
+}
+
 }  // namespace
 
+void AwaitWholeFile(const std::string& file,
+                    const std::function<void(Duration)>& sleep) {
+  for (int pause = 0; pause < kMaxFilePauses && IsIncomplete(file); ++pause) {
+    if (pause == 0) {
+      LogEvent("settings_incomplete", LogSeverity::kWarning).With("file", file);
+    }
+    sleep(kFilePause);
+  }
+}
+
 tl::expected<schema::EntrySettingsT, UserErrors> ReadEntrySettings(
     const std::string& file) {
   return ReadChecked<schema::EntrySettings>(
--- a/src/settings.h
+++ b/src/settings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
+#include "src/clock.h"
 #include "src/generated/settings_generated.h"
 #include "src/user_error.h"
 
@@ -18,6 +19,10 @@
 // addresses that are not of the form "ip:port".
 tl::expected<schema::EntrySettingsT, UserErrors> ReadEntrySettings(
     const std::string& file);
+// Waits for a while, with pauses by `sleep`, as long as the file can be read
+// and ends too early: its writer may not have finished.
+void AwaitWholeFile(const std::string& file,
+                    const std::function<void(Duration)>& sleep);
 // Fills in the limits of the machine that the settings leave open from the
 // environment: ACACIA_MEMORY_MB and ACACIA_MAX_DESCRIPTORS, whole numbers above
 // 0. Without these, `memory_mb` is kDefaultMemoryMb and `max_descriptors` stays
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -108,6 +108,24 @@
   entry.AwaitReady();
 }
 
+// Guards FAULT: an entry that started while its settings were being written
+// ended.
+TEST_CASE("An entry waits for the end of its settings") {
+  HostEntry entry(Echo);
+  const std::string settings = ReadFile(entry.SettingsFile());
+  std::ofstream file(entry.SettingsFile());
+  file << settings.substr(0, settings.size() / 2) << std::flush;
+  entry.Start();
+  Await("the entry to find the settings incomplete", [&] {
+    REQUIRE_FALSE(entry.process->HasEnded());
+    return entry.process->Log().find("event=settings_incomplete") !=
+           std::string::npos;
+  });
+  file << settings.substr(settings.size() / 2);
+  file.close();
+  entry.AwaitReady();
+}
+
 // Guards LOST: a second SIGTERM cut off the requests that the first lets end.
 TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
   std::promise<void> arrived;
