Take an empty limit of the environment for one that is not set

The platform fills in the environment from its settings, and leaves a variable empty where it has no value: the entry then ended at its start with exit code 2. Other values that are no number above 0 are errors as before.

--- a/src/settings.cc
+++ b/src/settings.cc
@@ -213,7 +213,7 @@
   UserErrors mistakes;
   const auto apply = [&](const char* name, std::uint32_t& setting) {
     const char* value = get(name);
-    if (setting != 0 || value == nullptr) {
+    if (setting != 0 || value == nullptr || *value == '\0') {
       return;
     }
     const std::string_view text(value);
--- a/src/settings.h
+++ b/src/settings.h
@@ -25,8 +25,8 @@
                     const std::function<void(Duration)>& sleep);
 // Fills in the limits of the machine that the settings leave open from the
 // environment: ACACIA_MEMORY_MB and ACACIA_MAX_DESCRIPTORS, whole numbers above
-// 0. Without these, `memory_mb` is kDefaultMemoryMb and `max_descriptors` stays
-// 0. `get` returns the value of a variable, or null.
+// 0. Where these are unset or empty, `memory_mb` is kDefaultMemoryMb and
+// `max_descriptors` stays 0. `get` returns the value of a variable, or null.
 inline constexpr std::uint32_t kDefaultMemoryMb = 256;
 tl::expected<void, UserErrors> ApplyEnvironment(
     const std::function<const char*(const char* name)>& get,
