Remove the row of an entry that stops until it is removed

Lookups named an entry that had stopped, some of them for good: it removed its row from the store in one attempt, on the connection of its start. The removal is now tried on a new connection each time until the stop ends, and the stop waits for it; a registration under way is given up, and a row of unknown version is looked up.

--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -69,6 +69,7 @@
   net::awaitable<void> ListenForOperators();
   net::awaitable<void> RunHousekeeping();
   net::awaitable<void> Stop();
+  bool IsStopPending() const;
   net::awaitable<void> EndAdmission();
   net::awaitable<void> Sleep(Duration duration);
   net::awaitable<void> SleepUntil(TimePoint time);
@@ -87,6 +88,7 @@
   std::optional<EntryLink> link;
   const EntryPolicy policy;
   std::function<void()> on_stop;
+  std::function<bool()> holds_stop;
 
   // Guards changes of configuration, fleet and snapshot. Lock order: taken
   // before the service table's lock.
@@ -397,6 +399,11 @@
   }
 }
 
+bool EntryServer::State::IsStopPending() const {
+  return this->context.connections.load() > 0 ||
+         (this->holds_stop && this->holds_stop());
+}
+
 net::awaitable<void> EntryServer::State::Stop() {
   LogEvent("stopping").With("in_flight", this->context.active_requests.load());
   const TimePoint began = this->clock.Now();
@@ -420,8 +427,7 @@
   co_await this->SleepUntil(std::min<TimePoint>(began + lifetime, window.end));
   this->context.phase = EntryPhase::kDraining;
   this->callers.StopAccepting();
-  for (int round = 0;
-       this->context.connections.load() > 0 && this->clock.Now() < window.end;
+  for (int round = 0; this->IsStopPending() && this->clock.Now() < window.end;
        ++round) {
     if (round >= kDrainRoundsBeforeIdleClose) {
       this->callers.CloseIdle();
@@ -489,6 +495,10 @@
   this->state->on_stop = std::move(hook);
 }
 
+void EntryServer::HoldStopWhile(std::function<bool()> holds) {
+  this->state->holds_stop = std::move(holds);
+}
+
 EntryServer::~EntryServer() {
   State& state = *this->state;
   state.io.stop();
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio.hpp>
 #include <utility>
 
@@ -41,6 +42,8 @@
 // While stopping, how often this entry checks whether the write of its row has
 // ended.
 constexpr std::chrono::milliseconds kRegistrationPoll{20};
+// Pause before a failed removal of this entry's row is retried.
+constexpr std::chrono::milliseconds kRemovalRetryPause{200};
 // Fleet size assumed for this entry's share of fleet-wide limits until the
 // members table has been read.
 constexpr std::uint32_t kAssumedFleetSize = 64;
@@ -80,6 +83,9 @@
   void StartRegistration();
   net::awaitable<void> Register();
   net::awaitable<void> Unregister();
+  // Reads which version this entry's row has. Returns false if it is not there,
+  // or another process of this instance has written it.
+  net::awaitable<bool> FindOwnRowVersion();
   void OnStop();
   HttpReply AnswerLookup(const TargetParts& target);
   bool IsReady() const;
@@ -109,6 +115,7 @@
   // to be written.
   RowVersion own_row;
   bool is_registering = false;
+  std::atomic<bool> is_unregistering{false};
   std::array<std::unique_ptr<TableFollower>, std::tuple_size_v<TableVersions>>
       followers;
   EntryPeers peers;
@@ -564,6 +571,9 @@
     }
     LogEvent("registration_failed", LogSeverity::kWarning)
         .With("reason", RowStoreErrorName(written.error()));
+    if (this->stopping) {
+      co_return;
+    }
     net::steady_timer pause(this->strand, kRowRetryPause);
     co_await pause.async_wait(kAwait);
   }
@@ -576,12 +586,42 @@
     pause.expires_after(kRegistrationPoll);
     co_await pause.async_wait(kAwait);
   }
-  const auto removed = co_await this->own_rows->Remove(
-      this->adapter.members_table, this->self.instance, this->own_row);
-  if (!removed) {
-    LogEvent("unregistration_failed", LogSeverity::kWarning)
-        .With("reason", RowStoreErrorName(removed.error()));
+  bool done = false;
+  while (!done) {
+    // The connection of the call before may have been closed or gone silent.
+    this->own_rows = this->adapter.make_store();
+    const auto removed = co_await this->own_rows->Remove(
+        this->adapter.members_table, this->self.instance, this->own_row);
+    done = removed.has_value();
+    if (!done) {
+      LogEvent("unregistration_failed", LogSeverity::kWarning)
+          .With("reason", RowStoreErrorName(removed.error()));
+      if (removed.error() == RowStoreError::kConflict) {
+        done = !co_await this->FindOwnRowVersion();
+      }
+      pause.expires_after(kRemovalRetryPause);
+      co_await pause.async_wait(kAwait);
+    }
+  }
+  LogEvent("unregistered").With("instance", this->self.instance);
+  this->is_unregistering = false;
+}
+
+net::awaitable<bool> HostControl::State::FindOwnRowVersion() {
+  const auto members =
+      co_await this->own_rows->ReadTable(this->adapter.members_table);
+  if (!members) {
+    co_return true;
+  }
+  for (const TableRow& row : members->rows) {
+    const auto member = ParseMember(row.value);
+    if (member && member->instance == this->self.instance &&
+        member->started == this->self.started) {
+      this->own_row = row.version;
+      co_return true;
+    }
   }
+  co_return false;
 }
 
 void HostControl::State::OnStop() {
@@ -589,8 +629,12 @@
   this->directory.Leave();
   // The last share withdraws this entry's claim to read the store, so that
   // listeners switch to another reader at once.
+  this->peers.SetServing(false);
   this->peers.ShareSoon();
   this->peers.Share({}, this->NewestKnownRows(), this->GapFreeSince());
+  if (this->is_registering) {
+    this->own_rows->Abort();
+  }
   net::co_spawn(
       this->strand,
       [](std::shared_ptr<State> state) -> net::awaitable<void> {
@@ -605,11 +649,17 @@
                          const Clock& clock)
     : state(
           std::make_shared<State>(settings, std::move(adapter), entry, clock)) {
-  entry.OnStop([weak = std::weak_ptr<State>(this->state)] {
+  const std::weak_ptr<State> weak = this->state;
+  entry.OnStop([weak] {
     if (const auto self = weak.lock()) {
+      self->is_unregistering = true;
       net::post(self->strand, [self] { self->OnStop(); });
     }
   });
+  entry.HoldStopWhile([weak] {
+    const auto self = weak.lock();
+    return self && self->is_unregistering;
+  });
 }
 
 HostControl::~HostControl() = default;
--- a/test/host_entry.h
+++ b/test/host_entry.h
@@ -38,6 +38,9 @@
   HostStore& operator=(const HostStore&) = delete;
 
   std::string Address() const { return this->listener.Address(); }
+  // From now on a connection on which a row was written gets no more answers.
+  void SilenceWriters() { this->silences_writers = true; }
+  bool HasRemovedRow() const { return this->has_removed_row; }
 
  private:
   static std::string RowsAsJson(const std::string& table, const Rows& rows) {
@@ -67,8 +70,18 @@
   }
 
   void Serve(TextStream& stream) {
+    bool is_writer = false;
     for (std::string request = stream.ReadMessage(); !request.empty();
          request = stream.ReadMessage()) {
+      const bool is_write = request.find("rows-tx") != std::string::npos;
+      if (is_write && !is_writer &&
+          request.find(R"("remove":[{)") != std::string::npos) {
+        this->has_removed_row = true;
+      }
+      if (is_writer && this->silences_writers) {
+        continue;
+      }
+      is_writer = is_writer || is_write;
       if (!stream.Send(Ok(this->Answer(request)))) {
         return;
       }
@@ -80,6 +93,8 @@
   std::mutex mutex;
   std::condition_variable stopped;
   bool stopping = false;
+  std::atomic<bool> silences_writers{false};
+  std::atomic<bool> has_removed_row{false};
   ThreadedListener listener;
 };
 
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -126,6 +126,18 @@
   entry.AwaitReady();
 }
 
+// Guards LOST: an entry that stopped was named in lookups for good if its
+// connection to the store had gone silent since its start.
+TEST_CASE("An entry that stops removes its row on a connection that works") {
+  HostEntry entry(Echo);
+  entry.Start();
+  entry.AwaitReady();
+  entry.store.SilenceWriters();
+  entry.process->Signal(SIGTERM);
+  CHECK(entry.process->Wait() == 0);
+  CHECK(entry.store.HasRemovedRow());
+}
+
 // Guards LOST: a second SIGTERM cut off the requests that the first lets end.
 TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
   std::promise<void> arrived;
