Give the test of datagrams an address that no outgoing connection has

'Datagrams between entries wait for their address to become free' failed in 4 of 10 runs beside processes that open many connections: the port that it had drawn for datagrams was, for streams, the source port of a connection of 127.0.0.1 in TIME_WAIT (/proc/net/tcp), which holds it for a minute. What the test asks for is unchanged; it now asks on 127.0.0.2.

--- a/test/correctness/listener_test.cc
+++ b/test/correctness/listener_test.cc
@@ -34,10 +34,12 @@
 
 TEST_CASE("Datagrams between entries wait for their address to become free") {
   net::io_context context;
-  const net::ip::address loopback = net::ip::address_v4::loopback();
-  Udp::socket holder(context, Udp::endpoint(loopback, 0));
+  // Outgoing connections have ports of 127.0.0.1, for a minute after their end
+  // too, so that a port that is free for datagrams may not be for streams.
+  const auto host = net::ip::make_address("127.0.0.2");
+  Udp::socket holder(context, Udp::endpoint(host, 0));
   const std::string address =
-      "127.0.0.1:" + std::to_string(holder.local_endpoint().port());
+      "127.0.0.2:" + std::to_string(holder.local_endpoint().port());
   std::thread release([&] {
     std::this_thread::sleep_for(kHeldFor);
     holder.close();
