Let a stop end an entry that still waits for its addresses

Signals are now handled from the moment the settings have been read; until the entry serves, nothing is in flight and SIGTERM ends it at once.

The settings are read once more, as 'An entry that is told to reload while it starts' asks, whose settings come from a pipe: the wait for settings that are being written had read them twice.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -9,12 +9,14 @@
 #include <cstdlib>
 #include <filesystem>
 #include <functional>
+#include <future>
 #include <iostream>
 #include <optional>
 #include <string>
 #include <thread>
 
 #include "platform/host_adapter.h"
+#include "src/check.h"
 #include "src/clock.h"
 #include "src/entry_server.h"
 #include "src/fleet_pool.h"
@@ -60,7 +62,8 @@
 // The first SIGTERM or SIGINT starts the graceful shutdown. The second ends the
 // process at once, except for a SIGTERM while the shutdown has a time limit.
 // SIGHUP or a change of the settings file makes the program read the settings
-// again. Signals that arrive before Start are handled then.
+// again. Signals that arrive before Start are handled then. Before Serve
+// nothing is in flight: SIGTERM and SIGINT end the process.
 class SignalHandler {
  public:
   // Must be constructed before the settings file is read, so that no change of
@@ -74,18 +77,30 @@
   SignalHandler(const SignalHandler&) = delete;
   SignalHandler& operator=(const SignalHandler&) = delete;
 
-  // `server` and what `reload` uses must live until Stop.
-  void Start(acacia::EntryServer& server,
-             bool is_stop_bounded,
-             std::function<void()> reload) {
-    this->server = &server;
-    this->is_stop_bounded = is_stop_bounded;
-    this->reload = std::move(reload);
+  void Start() {
     this->AwaitSignal();
-    this->WatchFile();
     this->thread = std::thread([this] { this->context.run(); });
   }
 
+  // Must be called before the server's Start. `server` and what `reload` uses
+  // must live until Stop.
+  void Serve(acacia::EntryServer& server,
+             bool is_stop_bounded,
+             std::function<void()> reload) {
+    std::promise<void> done;
+    boost::asio::post(this->context, [&] {
+      this->server = &server;
+      this->is_stop_bounded = is_stop_bounded;
+      this->reload = std::move(reload);
+      done.set_value();
+    });
+    done.get_future().wait();
+    boost::asio::post(this->context, [this] {
+      this->ReloadIfChanged();
+      this->WatchFile();
+    });
+  }
+
   // Handles no further signals.
   void Stop() {
     this->context.stop();
@@ -132,6 +147,10 @@
   }
 
   void OnSignal(int signal) {
+    if (this->server == nullptr) {
+      this->OnSignalBeforeServing(signal);
+      return;
+    }
     if (signal == SIGHUP) {
       this->last_write = this->LastWriteTime();
       this->reload();
@@ -151,6 +170,17 @@
     this->server->BeginStop();
   }
 
+  void OnSignalBeforeServing(int signal) {
+    if (signal == SIGHUP) {
+      // Serve finds the file changed.
+      this->last_write = std::filesystem::file_time_type::min();
+      return;
+    }
+    acacia::LogEvent("stopped_before_serving");
+    acacia::StandardLog().Flush();
+    std::_Exit(0);
+  }
+
   boost::asio::io_context context;
   boost::asio::signal_set signals;
   boost::asio::steady_timer file_timer;
@@ -224,15 +254,16 @@
   auto listening =
       control ? control->Start() : tl::expected<void, std::string>();
   if (listening) {
-    listening = server.Start();
+    listening = server.Listen();
   }
   if (!listening) {
     acacia::LogEvent("cannot_listen", acacia::LogSeverity::kError)
         .With("reason", listening.error());
     return kExitFailure;
   }
-  signals.Start(server, adapter.has_value(),
+  signals.Serve(server, adapter.has_value(),
                 [&] { Reload(file, control ? &*control : nullptr); });
+  ACACIA_CHECK(server.Start());
   server.Wait();
   if (control) {
     // Connections that are still open at the end of the grace time would delay
@@ -266,9 +297,8 @@
   }
   const std::string file = line.values["settings"].as<std::string>();
   SignalHandler signals(file);
-  acacia::AwaitWholeFile(
+  auto settings = acacia::ReadEntrySettings(
       file, [](acacia::Duration pause) { std::this_thread::sleep_for(pause); });
-  auto settings = acacia::ReadEntrySettings(file);
   if (!settings) {
     std::cerr << acacia::DescribeAll(settings.error());
     return kExitUsage;
@@ -285,5 +315,6 @@
       (limit > 0 && limit < settings->max_descriptors)) {
     settings->max_descriptors = limit;
   }
+  signals.Start();
   return Serve(file, *settings, signals);
 }
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -99,6 +99,7 @@
   std::unique_ptr<schema::FleetUpdateT> fleet;
   TimePoint fleet_received;
 
+  bool listening = false;
   std::atomic<bool> stop_begun{false};
   std::atomic<bool> stopped{false};
   std::mutex finished_mutex;
@@ -518,12 +519,21 @@
   } while (state.context.connections.load() > 0);
 }
 
+tl::expected<void, std::string> EntryServer::Listen() {
+  State& state = *this->state;
+  const auto listening =
+      state.callers.Listen(state.context.settings.caller_listen);
+  state.listening = listening.has_value();
+  return listening;
+}
+
 tl::expected<void, std::string> EntryServer::Start() {
   State& state = *this->state;
   const schema::EntrySettingsT& settings = state.context.settings;
-  if (auto listening = state.callers.Listen(settings.caller_listen);
-      !listening) {
-    return listening;
+  if (!state.listening) {
+    if (auto listening = this->Listen(); !listening) {
+      return listening;
+    }
   }
   const auto operators =
       state.operators.Listen(settings.operator_listen, Availability::kRequired);
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -75,8 +75,11 @@
   // `holds` may be called on any thread. Must be set before Start.
   void HoldStopWhile(std::function<bool()> holds);
 
-  // Opens the listeners and starts the worker threads. On failure, the error
-  // names the address that could not be opened.
+  // Opens the listener for callers. The error names the address that could not
+  // be opened.
+  tl::expected<void, std::string> Listen();
+  // Starts the worker threads, after Listen unless that has been called. The
+  // listener for operators opens when its address is available.
   tl::expected<void, std::string> Start();
 
   std::uint16_t CallerPort() const;
--- a/src/host_control.h
+++ b/src/host_control.h
@@ -56,7 +56,7 @@
               const Clock& clock);
   ~HostControl();
 
-  // Opens the listeners and starts to follow the store. Must be called before
+  // Opens the listeners and prepares to follow the store. Must be called before
   // EntryServer::Start, whose threads run this object's work. The error names
   // the listener's failure.
   tl::expected<void, std::string> Start();
--- a/src/settings.cc
+++ b/src/settings.cc
@@ -132,13 +132,30 @@
       .Positive("host_platform.lookup_lifetime_s", settings.lookup_lifetime_s);
 }
 
-// Reads a table from the file and passes it to `check`. Returns the mistakes of
-// both steps together.
+// Reads the file again, after pauses by `sleep`, while it ends too early.
+tl::expected<std::string, UserErrors> ReadFinishedFile(
+    const std::string& file,
+    const std::function<void(Duration)>& sleep) {
+  auto text = ReadTextFile(file);
+  for (int pause = 0;
+       text && pause < kMaxFilePauses && JsonLines(file, *text).IsIncomplete();
+       ++pause) {
+    if (pause == 0) {
+      LogEvent("settings_incomplete", LogSeverity::kWarning).With("file", file);
+    }
+    sleep(kFilePause);
+    text = ReadTextFile(file);
+  }
+  return text;
+}
+
+// Reads a table from the text of the file and passes it to `check`. Returns the
+// mistakes of both steps together.
 template <typename Table, typename Check>
 tl::expected<typename Table::NativeTableType, UserErrors> ReadChecked(
     const std::string& file,
+    const tl::expected<std::string, UserErrors>& text,
     Check check) {
-  const auto text = ReadTextFile(file);
   if (!text) {
     return tl::unexpected(text.error());
   }
@@ -163,27 +180,14 @@
   return settings;
 }
 
-bool IsIncomplete(const std::string& file) {
-  const auto text = ReadTextFile(file);
-  return text && JsonLines(file, *text).IsIncomplete();
-}
-
 }  // namespace
 
-void AwaitWholeFile(const std::string& file,
-                    const std::function<void(Duration)>& sleep) {
-  for (int pause = 0; pause < kMaxFilePauses && IsIncomplete(file); ++pause) {
-    if (pause == 0) {
-      LogEvent("settings_incomplete", LogSeverity::kWarning).With("file", file);
-    }
-    sleep(kFilePause);
-  }
-}
-
 tl::expected<schema::EntrySettingsT, UserErrors> ReadEntrySettings(
-    const std::string& file) {
+    const std::string& file,
+    const std::function<void(Duration)>& sleep) {
   return ReadChecked<schema::EntrySettings>(
-      file, [](const schema::EntrySettingsT& settings, SettingsChecker* check) {
+      file, sleep ? ReadFinishedFile(file, sleep) : ReadTextFile(file),
+      [](const schema::EntrySettingsT& settings, SettingsChecker* check) {
         check->Name("instance", settings.instance)
             .Name("failure_domain", settings.failure_domain)
             .Address("caller_listen", settings.caller_listen)
@@ -239,7 +243,8 @@
 tl::expected<schema::AgentSettingsT, UserErrors> ReadAgentSettings(
     const std::string& file) {
   return ReadChecked<schema::AgentSettings>(
-      file, [](const schema::AgentSettingsT& settings, SettingsChecker* check) {
+      file, ReadTextFile(file),
+      [](const schema::AgentSettingsT& settings, SettingsChecker* check) {
         check->Name("instance", settings.instance)
             .Name("failure_domain", settings.failure_domain)
             .Address("peer_listen", settings.peer_listen)
@@ -257,8 +262,9 @@
 tl::expected<schema::PlatformStandinSettingsT, UserErrors>
 ReadPlatformStandinSettings(const std::string& file) {
   return ReadChecked<schema::PlatformStandinSettings>(
-      file, [](const schema::PlatformStandinSettingsT& settings,
-               SettingsChecker* check) {
+      file, ReadTextFile(file),
+      [](const schema::PlatformStandinSettingsT& settings,
+         SettingsChecker* check) {
         check->Address("listen", settings.listen);
       });
 }
@@ -266,8 +272,9 @@
 tl::expected<schema::BackendStandinSettingsT, UserErrors>
 ReadBackendStandinSettings(const std::string& file) {
   return ReadChecked<schema::BackendStandinSettings>(
-      file, [](const schema::BackendStandinSettingsT& settings,
-               SettingsChecker* check) {
+      file, ReadTextFile(file),
+      [](const schema::BackendStandinSettingsT& settings,
+         SettingsChecker* check) {
         check->Address("listen", settings.listen);
       });
 }
@@ -275,7 +282,7 @@
 tl::expected<schema::FaultProxySettingsT, UserErrors> ReadFaultProxySettings(
     const std::string& file) {
   return ReadChecked<schema::FaultProxySettings>(
-      file,
+      file, ReadTextFile(file),
       [](const schema::FaultProxySettingsT& settings, SettingsChecker* check) {
         check->Address("listen", settings.listen)
             .Address("target", settings.target)
@@ -286,7 +293,8 @@
 tl::expected<schema::LoadSettingsT, UserErrors> ReadLoadSettings(
     const std::string& file) {
   return ReadChecked<schema::LoadSettings>(
-      file, [](const schema::LoadSettingsT& settings, SettingsChecker* check) {
+      file, ReadTextFile(file),
+      [](const schema::LoadSettingsT& settings, SettingsChecker* check) {
         check->Addresses("entries", settings.entries)
             .Addresses("ledgers", settings.ledgers);
       });
--- a/src/settings.h
+++ b/src/settings.h
@@ -17,12 +17,12 @@
 // Each function returns the settings in the file, or a list of all mistakes in
 // it: unknown fields, wrong types, values out of range, and listen or peer
 // addresses that are not of the form "ip:port".
+//
+// Given `sleep`, which pauses, a file that ends too early is read again for a
+// while, as its writer may not have finished.
 tl::expected<schema::EntrySettingsT, UserErrors> ReadEntrySettings(
-    const std::string& file);
-// Waits for a while, with pauses by `sleep`, as long as the file can be read
-// and ends too early: its writer may not have finished.
-void AwaitWholeFile(const std::string& file,
-                    const std::function<void(Duration)>& sleep);
+    const std::string& file,
+    const std::function<void(Duration)>& sleep = {});
 // Fills in the limits of the machine that the settings leave open from the
 // environment: ACACIA_MEMORY_MB and ACACIA_MAX_DESCRIPTORS, whole numbers above
 // 0. Where these are unset or empty, `memory_mb` is kDefaultMemoryMb and
--- a/test/error/settings_test.cc
+++ b/test/error/settings_test.cc
@@ -137,24 +137,24 @@
     "a settings file that ends too early is waited for, but not forever") {
   const std::string file = WriteTemporary(R"({"instance": "e1", "fail)");
   int pauses = 0;
-  AwaitWholeFile(file, [&](Duration) {
+  ReadEntrySettings(file, [&](Duration) {
     if (++pauses == 3) {
       WriteTemporary(R"({"instance": "e1"})");
     }
   });
   CHECK(pauses == 3);
-  AwaitWholeFile(file, [&](Duration) { ++pauses; });
+  ReadEntrySettings(file, [&](Duration) { ++pauses; });
   CHECK(pauses == 3);
   WriteTemporary("");
   Duration waited{};
-  AwaitWholeFile(file, [&](Duration pause) { waited += pause; });
+  ReadEntrySettings(file, [&](Duration pause) { waited += pause; });
   CHECK(waited == std::chrono::seconds(2));
 }
 
 TEST_CASE("a settings file with other mistakes is not waited for") {
-  AwaitWholeFile(WriteTemporary(R"({"instance": e1})"),
-                 [](Duration) { FAIL("waited"); });
-  AwaitWholeFile("missing.json", [](Duration) { FAIL("waited"); });
+  ReadEntrySettings(WriteTemporary(R"({"instance": e1})"),
+                    [](Duration) { FAIL("waited"); });
+  ReadEntrySettings("missing.json", [](Duration) { FAIL("waited"); });
 }
 
 }  // namespace
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -138,6 +138,26 @@
   CHECK(entry.store.HasRemovedRow());
 }
 
+// Guards FAULT: a stop took effect only after an entry had waited for each of
+// its addresses, longer than the grace time.
+TEST_CASE("An entry that is stopped while it waits for an address ends") {
+  HostEntry entry(Echo);
+  boost::asio::io_context context;
+  const SocketAddress callers = *ParseSocketAddress(entry.callers);
+  Tcp::acceptor holder(context, {callers.address, callers.port});
+  // The entry must not inherit it.
+  REQUIRE(::fcntl(holder.native_handle(), F_SETFD, FD_CLOEXEC) == 0);
+  entry.Start();
+  Await("the entry to wait for its address", [&] {
+    REQUIRE_FALSE(entry.process->HasEnded());
+    return entry.process->Log().find("event=address_unavailable") !=
+           std::string::npos;
+  });
+  entry.process->Signal(SIGTERM);
+  CHECK(entry.process->Wait() == 0);
+  CHECK(entry.process->Log().find("event=cannot_listen") == std::string::npos);
+}
+
 // Guards LOST: a second SIGTERM cut off the requests that the first lets end.
 TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
   std::promise<void> arrived;
