Drop peers' messages about tables that this version does not know

Cause: the verification of FlatBuffers does not cover the ranges of enumerations, and RelayedRows.table was used as an index of the counters and followers. UBSan on, one datagram with table 200: 'index 200 out of bounds for type TableMetrics [3]', exit code 1.

ParseEntryMessage is the only way in, so a message that passes it has a table in range. The process test sends the message and 20,000 mutated ones, seed 1, to the peers' address; ACACIA_ENTRY names the program under test, so that it can be one built with sanitizers.

--- a/src/peer_messages.cc
+++ b/src/peer_messages.cc
@@ -91,7 +91,11 @@
 
 std::optional<schema::EntryMessageT> ParseEntryMessage(
     const std::string& bytes) {
-  return UnpackTable<schema::EntryMessage>(bytes);
+  auto message = UnpackTable<schema::EntryMessage>(bytes);
+  // The verification does not include the ranges of enumerations.
+  const bool has_unknown_table = message && message->relayed &&
+                                 message->relayed->table > FollowedTable::MAX;
+  return has_unknown_table ? std::nullopt : std::move(message);
 }
 
 TableVersions KnownVersions(const schema::OutcomeShareT& share) {
--- a/test/host_entry.h
+++ b/test/host_entry.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -106,6 +107,7 @@
     this->callers = this->FreeAddress();
     this->lookups = this->FreeAddress();
     this->readiness = this->FreeAddress();
+    this->peers = this->FreeAddress();
     const std::string settings =
         R"({"instance": "e1", "failure_domain": "a", "region": "r",)"
         R"("worker_threads": 1, "answer_lifetime_ms": 300,)"
@@ -114,8 +116,8 @@
         this->callers + R"(", "operator_listen": ")" + this->FreeAddress() +
         R"(", "host_platform": {"store_address": ")" + this->store.Address() +
         R"(", "lookup_listen": ")" + this->lookups + R"(", "ready_listen": ")" +
-        this->readiness + R"(", "peer_listen": ")" + this->FreeAddress() +
-        R"("})" + (more_settings.empty() ? "" : ", " + more_settings) + "}";
+        this->readiness + R"(", "peer_listen": ")" + this->peers + R"("})" +
+        (more_settings.empty() ? "" : ", " + more_settings) + "}";
     std::ofstream(this->SettingsFile()) << settings;
   }
   ~HostEntry() {
@@ -126,9 +128,12 @@
   HostEntry& operator=(const HostEntry&) = delete;
 
   std::string SettingsFile() const { return this->folder + "/entry.json"; }
+  // ACACIA_ENTRY names another build of the program, such as one with a
+  // sanitizer.
   std::vector<std::string> Command() const {
-    return {ACACIA_BINARY_DIR "/acacia-entry", "--settings",
-            this->SettingsFile()};
+    const char* program = std::getenv("ACACIA_ENTRY");
+    return {program == nullptr ? ACACIA_BINARY_DIR "/acacia-entry" : program,
+            "--settings", this->SettingsFile()};
   }
   void Start() {
     this->process =
@@ -194,6 +199,7 @@
   std::string callers;
   std::string lookups;
   std::string readiness;
+  std::string peers;
   ThreadedListener backend;
   HostStore store;
   std::unique_ptr<Process> process;
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -6,6 +6,9 @@
 #include <array>
 #include <sstream>
 
+#include "src/flat_table.h"
+#include "src/peer_messages.h"
+#include "src/random_source.h"
 #include "test/host_entry.h"
 
 namespace acacia {
@@ -335,5 +338,90 @@
   CHECK(entry.IsReady());
 }
 
+// Changes, adds or removes some bytes.
+std::string Mutate(std::string bytes, SeededRandom& random) {
+  const std::uint64_t changes = 1 + random.Below(4);
+  for (std::uint64_t i = 0; i < changes && !bytes.empty(); ++i) {
+    const std::size_t at = random.Below(bytes.size());
+    switch (random.Below(4)) {
+      case 0:
+        bytes[at] = static_cast<char>(random.Below(256));
+        break;
+      case 1:
+        bytes[at] = static_cast<char>(bytes[at] ^ (1 << random.Below(8)));
+        break;
+      case 2:
+        bytes.resize(at);
+        break;
+      default:
+        bytes.insert(at, 1 + random.Below(8), '\xff');
+    }
+  }
+  return bytes;
+}
+
+// Messages of a peer that holds everything that a message can hold.
+std::vector<std::string> PeerMessages() {
+  ShareHeader header{"e2", {}, {}};
+  header.known = {RowVersion(1), RowVersion(1), RowVersion(1)};
+  header.since = header.known;
+  header.silent = {"e3", "e4"};
+  header.quarantined.emplace_back();
+  header.quarantined.back().fingerprint = 7;
+  header.quarantined.back().count = 1;
+  OutcomeReports reports;
+  schema::BackendEvidenceT& evidence = reports.backends.emplace_back();
+  evidence.service = "kehto";
+  evidence.id = "i-1@1";
+  evidence.good = 1;
+  evidence.failures = 1;
+  evidence.in_flight = 1;
+  evidence.slots = 5;
+  evidence.rate_limit = 1000;
+  schema::RequestReportT& report = reports.requests.emplace_back();
+  report.fingerprint = 8;
+  report.backend = "i-1@1";
+  TableRows rows;
+  rows.version = RowVersion(1);
+  rows.rows.push_back({"i-3", "no JSON", RowVersion(1), false});
+  std::vector<std::string> messages{SerializeShare(header, reports)};
+  for (const FollowedTable table : schema::EnumValuesFollowedTable()) {
+    messages.push_back(SerializeRelayed(table, RowVersion(1), rows));
+  }
+  return messages;
+}
+
+// Guards FAULT: a message about a table that this version does not know ended
+// the entry.
+TEST_CASE("An entry outlives messages of peers that it cannot read") {
+  constexpr std::uint64_t kSeed = 1;
+  constexpr int kMessages = 20000;
+  HostEntry entry(Echo);
+  entry.Start();
+  entry.AwaitReady();
+  SeededRandom random(kSeed);
+  const std::vector<std::string> valid = PeerMessages();
+  TextStream frames = entry.ConnectTo(entry.peers);
+  const auto send_frame = [&frames](const std::string& bytes) {
+    const auto size = static_cast<std::uint32_t>(bytes.size());
+    return frames.Send(
+        std::string(reinterpret_cast<const char*>(&size), sizeof(size)) +
+        bytes);
+  };
+  send_frame("127.0.0.1:9");
+  schema::EntryMessageT unknown_table;
+  unknown_table.relayed = std::make_unique<schema::RelayedRowsT>();
+  unknown_table.relayed->table = static_cast<FollowedTable>(200);
+  CHECK(send_frame(PackTable<schema::EntryMessage>(unknown_table)));
+  for (int i = 0; i < kMessages && !entry.process->HasEnded(); ++i) {
+    send_frame(Mutate(valid[random.Below(valid.size())], random));
+  }
+  TextStream caller = entry.Connect();
+  caller.Send(HostEntry::Head("after", 2) + "hi");
+  CHECK(StatusOf(caller.ReadMessage()) == 200);
+  CHECK_FALSE(entry.process->HasEnded());
+  CHECK(entry.IsReady());
+}
+
 }  // namespace
 }  // namespace acacia
