Ignore signals that would end the process for no reason of its own

Callers saw: all requests in flight end without an answer when the file of the log reaches the limit on the size of files (SIGXFSZ), or when a log rotator sends SIGUSR1 to all programs of a machine.

Cause: the default action of these signals ends the process.

Ignored, a write beyond the limit fails with an error, and the log writer drops and counts the lines as it does for a slow reader.

--- a/src/process_setup.cc
+++ b/src/process_setup.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <csignal>
 #include <initializer_list>
@@ -13,6 +14,11 @@
 namespace acacia {
 namespace {
 
+// By default each of these ends the process: SIGPIPE when the reader of the log
+// has gone, SIGXFSZ when the log's file may not grow further, and the others
+// when a supervisor or log rotator sends them to all of its programs.
+constexpr std::array kIgnoredSignals{SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2};
+
 void IgnoreReloadSignal() {
   std::signal(SIGHUP, SIG_IGN);
 }
@@ -25,7 +31,9 @@
 }  // namespace
 
 void PrepareProcess() {
-  std::signal(SIGPIPE, SIG_IGN);
+  for (const int signal : kIgnoredSignals) {
+    std::signal(signal, SIG_IGN);
+  }
   for (const int stream : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
     if (::fcntl(stream, F_GETFD) < 0 && errno == EBADF) {
       // Gets the lowest free number, which is `stream`.
--- a/src/process_setup.h
+++ b/src/process_setup.h
@@ -6,8 +6,8 @@
 
 namespace acacia {
 
-// Ignores SIGPIPE, so that writing to a pipe or socket whose reader has gone
-// fails instead of ending the process. Opens /dev/null in place of each closed
+// Ignores the signals that would end the process for reasons that concern only
+// its log, or none at all. Opens /dev/null in place of each closed
 // standard stream, so that no socket gets its number and with it the log. Must
 // be called before the process opens any file or starts a thread.
 //
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -82,6 +82,40 @@
   });
 }
 
+// Guards FAULT and LOST: the entry was ended, with all requests in flight, when
+// the file that it writes its log to had reached the limit on the size of
+// files.
+TEST_CASE("An entry outlives the limit on the size of its log") {
+  HostEntry entry(Echo);
+  // In blocks of 512 bytes.
+  entry.StartByShell("ulimit -f 16 && exec \"$0\" \"$@\"");
+  entry.AwaitReady();
+  for (int i = 0; i < 200; ++i) {
+    TextStream caller = entry.Connect();
+    caller.Send(HostEntry::Head("r" + std::to_string(i), 2) + "hi");
+    REQUIRE(StatusOf(caller.ReadMessage()) == 200);
+  }
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  CHECK(entry.process->Log().size() == 16 * 512);
+  CHECK_FALSE(entry.process->HasEnded());
+  CHECK(entry.IsReady());
+}
+
+// Guards FAULT and LOST: a signal that is sent to all programs of a machine, as
+// by a log rotator, ended the entry.
+TEST_CASE("An entry outlives signals that have no meaning for it") {
+  HostEntry entry(Echo);
+  entry.Start();
+  entry.AwaitReady();
+  for (const int signal : {SIGUSR1, SIGUSR2, SIGPIPE, SIGXFSZ}) {
+    entry.process->Signal(signal);
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    INFO(signal);
+    CHECK_FALSE(entry.process->HasEnded());
+  }
+  CHECK(entry.IsReady());
+}
+
 // Guards LOST: a second SIGTERM cut off the requests that the first lets end.
 TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
   std::promise<void> arrived;
