Unblock the signals that the programs handle

Callers saw: every planned stop of an entry whose starter blocks SIGTERM ends in SIGKILL, with the requests in flight cut off.

Cause: a process inherits the blocked signals of its starter, and the entry unblocked none. Evidence: started with all signals blocked, had not ended 60 s after SIGTERM.

The signals are unblocked after their handlers are in place, so one that is pending is handled and not lost; threads inherit the set.

--- a/src/acacia_agent_main.cc
+++ b/src/acacia_agent_main.cc
@@ -58,6 +58,7 @@
       .With("entry_port", agent.EntryPort())
       .With("operator_port", agent.OperatorPort());
   net::signal_set signals(context, SIGTERM, SIGINT);
+  UnblockSignals({SIGTERM, SIGINT});
   int exit_code = kExitOk;
   AwaitSignal(signals, context, agent, &exit_code);
   context.run();
--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -69,7 +69,9 @@
       : signals(context, SIGTERM, SIGINT, SIGHUP),
         file_timer(context),
         file(std::move(file)),
-        last_write(this->LastWriteTime()) {}
+        last_write(this->LastWriteTime()) {
+    acacia::UnblockSignals({SIGTERM, SIGINT, SIGHUP});
+  }
   ~SignalHandler() { this->Stop(); }
   SignalHandler(const SignalHandler&) = delete;
   SignalHandler& operator=(const SignalHandler&) = delete;
--- a/src/process_setup.cc
+++ b/src/process_setup.cc
@@ -42,6 +42,15 @@
   }
 }
 
+void UnblockSignals(std::initializer_list<int> signals) {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int signal : signals) {
+    sigaddset(&set, signal);
+  }
+  pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
+}
+
 std::uint32_t DescriptorLimit() {
   rlimit limit{};
   const bool is_limited = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 &&
--- a/src/process_setup.h
+++ b/src/process_setup.h
@@ -3,6 +3,7 @@
 #define SRC_PROCESS_SETUP_H_
 
 #include <cstdint>
+#include <initializer_list>
 
 namespace acacia {
 
@@ -15,6 +16,11 @@
 // handles the signal itself.
 void PrepareProcess();
 
+// Unblocks signals that the program handles: a process inherits the blocked
+// signals of the one that starts it. Must be called once they are handled and
+// before other threads start.
+void UnblockSignals(std::initializer_list<int> signals);
+
 // Returns how many descriptors the system lets the process open; 0 if any
 // number.
 std::uint32_t DescriptorLimit();
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -116,6 +116,24 @@
   CHECK(entry.IsReady());
 }
 
+// Guards LOST: an entry whose starter blocks SIGTERM was never told to stop, so
+// that each stop was cut off by SIGKILL.
+TEST_CASE("An entry stops although its starter blocks signals") {
+  for (const int signal : {SIGTERM, SIGINT}) {
+    HostEntry entry(Echo);
+    sigset_t all;
+    sigset_t before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
+    entry.Start();
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    entry.AwaitReady();
+    entry.process->Signal(signal);
+    Await("the entry to stop", [&] { return entry.process->HasEnded(); });
+    CHECK(entry.process->Wait() == 0);
+  }
+}
+
 // Guards LOST: a second SIGTERM cut off the requests that the first lets end.
 TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
   std::promise<void> arrived;
