Let an exception outside of a request end neither the process nor a loop

Callers saw: nothing known. On an exception in a handler that runs on the event loop ends the process with signal 6 and cuts off all requests in flight; one in a background coroutine ends it without a trace, so that the entry serves on with the configuration or without the listener it had.

Cause: io_context::run was called without a guard, and coroutines were started with net::detached or an empty handler.

RunHandlers and SpawnLoop are the only ways in which the entry now runs them: both log the exception, and go on. The signals' and the settings file's next wait begins before the present one is handled, so that it can't get lost.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -19,6 +19,7 @@
 #include "src/entry_server.h"
 #include "src/fleet_pool.h"
 #include "src/host_control.h"
+#include "src/keep_running.h"
 #include "src/log_event.h"
 #include "src/log_writer.h"
 #include "src/process_setup.h"
@@ -85,7 +86,7 @@
     this->reload = std::move(reload);
     this->AwaitSignal();
     this->WatchFile();
-    this->thread = std::thread([this] { this->context.run(); });
+    this->thread = std::thread([this] { acacia::RunHandlers(this->context); });
   }
 
   // Handles no further signals.
@@ -101,8 +102,8 @@
     this->signals.async_wait(
         [this](const boost::system::error_code& error, int signal) {
           if (!error) {
-            this->OnSignal(signal);
             this->AwaitSignal();
+            this->OnSignal(signal);
           }
         });
   }
@@ -120,8 +121,8 @@
       if (error) {
         return;
       }
-      this->ReloadIfChanged();
       this->WatchFile();
+      this->ReloadIfChanged();
     });
   }
 
--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/caller_session.h"
+#include "src/keep_running.h"
 #include "src/listener.h"
 #include "src/log_event.h"
 
@@ -139,8 +140,8 @@
   if (!opened) {
     return opened;
   }
-  net::co_spawn(acceptor.get_executor(), this->state->Accept(),
-                [shared_state = this->state](const std::exception_ptr&) {});
+  SpawnLoop(acceptor.get_executor(), "accept_callers",
+            [shared_state = this->state] { return shared_state->Accept(); });
   return {};
 }
 
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -11,6 +11,7 @@
 #include "src/caller_server.h"
 #include "src/entry_context.h"
 #include "src/entry_link.h"
+#include "src/keep_running.h"
 #include "src/log_event.h"
 #include "src/log_writer.h"
 #include "src/operator_server.h"
@@ -65,6 +66,7 @@
   void RefreshGauges();
   std::uint32_t LoadPermille() const;
   net::awaitable<void> RunHousekeeping();
+  void SpawnStop();
   net::awaitable<void> Stop();
   net::awaitable<void> EndAdmission();
   net::awaitable<void> Sleep(Duration duration);
@@ -231,8 +233,8 @@
     this->fleet_received = this->clock.Now();
     this->RebuildSnapshot();
   }
-  if (stop && !this->stop_begun.exchange(true)) {
-    net::co_spawn(this->strand, this->Stop(), net::detached);
+  if (stop) {
+    this->SpawnStop();
   }
 }
 
@@ -383,6 +385,17 @@
   }
 }
 
+void EntryServer::State::SpawnStop() {
+  if (this->stop_begun.exchange(true)) {
+    return;
+  }
+  net::co_spawn(this->strand, this->Stop(),
+                [this](const std::exception_ptr& error) {
+                  LogFailureOf("stop")(error);
+                  this->Finish();
+                });
+}
+
 net::awaitable<void> EntryServer::State::Stop() {
   LogEvent("stopping").With("in_flight", this->context.active_requests.load());
   const TimePoint began = this->clock.Now();
@@ -401,7 +414,8 @@
   const std::chrono::milliseconds lifetime(
       this->context.settings.answer_lifetime_ms);
   if (window.admission_end < TimePoint::max()) {
-    net::co_spawn(this->strand, this->EndAdmission(), net::detached);
+    net::co_spawn(this->strand, this->EndAdmission(),
+                  LogFailureOf("end_admission"));
   }
   co_await this->SleepUntil(std::min<TimePoint>(began + lifetime, window.end));
   this->context.phase = EntryPhase::kDraining;
@@ -422,7 +436,6 @@
   LogEvent("stopped").With("instance", this->context.settings.instance);
   this->ReportSoon();
   co_await this->Sleep(kFinalReportWait);
-  this->Finish();
 }
 
 void EntryServer::State::Finish() {
@@ -507,10 +520,11 @@
   if (state.link) {
     state.link->Start();
   }
-  net::co_spawn(state.strand, state.RunHousekeeping(), net::detached);
+  SpawnLoop(state.strand, "housekeeping",
+            [&state] { return state.RunHousekeeping(); });
   const std::uint32_t count = std::max(settings.worker_threads, 1U);
   for (std::uint32_t i = 0; i < count; ++i) {
-    state.threads.emplace_back([&state] { state.io.run(); });
+    state.threads.emplace_back([&state] { RunHandlers(state.io); });
   }
   LogEvent("serving")
       .With("instance", settings.instance)
@@ -529,9 +543,7 @@
 }
 
 void EntryServer::BeginStop() {
-  if (!this->state->stop_begun.exchange(true)) {
-    net::co_spawn(this->state->strand, this->state->Stop(), net::detached);
-  }
+  this->state->SpawnStop();
 }
 
 void EntryServer::Wait() {
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -11,6 +11,7 @@
 #include "src/fleet_state.h"
 #include "src/host_metrics.h"
 #include "src/host_policy.h"
+#include "src/keep_running.h"
 #include "src/log_event.h"
 #include "src/member_directory.h"
 #include "src/operator_server.h"
@@ -240,12 +241,9 @@
     follower->Start();
   }
   this->StartRegistration();
-  net::co_spawn(
-      this->strand,
-      [](std::shared_ptr<State> state) -> net::awaitable<void> {
-        co_await state->ShareOutcomes();
-      }(this->shared_from_this()),
-      net::detached);
+  SpawnLoop(this->strand, "share_outcomes", [state = this->shared_from_this()] {
+    return state->ShareOutcomes();
+  });
   return {};
 }
 
@@ -549,13 +547,8 @@
 
 void HostControl::State::StartRegistration() {
   this->is_registering = true;
-  net::co_spawn(
-      this->strand,
-      [](std::shared_ptr<State> state) -> net::awaitable<void> {
-        co_await state->Register();
-        state->is_registering = false;
-      }(this->shared_from_this()),
-      net::detached);
+  SpawnLoop(this->strand, "register",
+            [state = this->shared_from_this()] { return state->Register(); });
 }
 
 net::awaitable<void> HostControl::State::Register() {
@@ -566,13 +559,14 @@
     if (written) {
       LogEvent("registered").With("row_version", *written);
       this->own_row = *written;
-      co_return;
+      break;
     }
     LogEvent("registration_failed", LogSeverity::kWarning)
         .With("reason", RowStoreErrorName(written.error()));
     net::steady_timer pause(this->strand, kRowRetryPause);
     co_await pause.async_wait(kAwait);
   }
+  this->is_registering = false;
 }
 
 net::awaitable<void> HostControl::State::Unregister() {
@@ -602,7 +596,7 @@
       [](std::shared_ptr<State> state) -> net::awaitable<void> {
         co_await state->Unregister();
       }(this->shared_from_this()),
-      net::detached);
+      LogFailureOf("unregister"));
 }
 
 HostControl::HostControl(const schema::EntrySettingsT& settings,
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/keep_running.h"
 #include "src/listener.h"
 #include "src/log_event.h"
 #include "src/lower_case.h"
@@ -107,7 +108,8 @@
       executor, this->AnswerRequests(*at),
       [self = this->shared_from_this(), at](const std::exception_ptr& error) {
         if (error) {
-          LogEvent("http_connection_failed", LogSeverity::kError);
+          LogEvent("http_connection_failed", LogSeverity::kError)
+              .With("reason", DescribeException(error));
         }
         (*at)->stream.close();
         self->connections.erase(at);
@@ -182,12 +184,8 @@
   if (!opened) {
     return opened;
   }
-  net::co_spawn(
-      acceptor.get_executor(),
-      [](std::shared_ptr<State> shared_state) -> net::awaitable<void> {
-        co_await shared_state->Accept();
-      }(this->state),
-      net::detached);
+  SpawnLoop(acceptor.get_executor(), "accept_http",
+            [shared_state = this->state] { return shared_state->Accept(); });
   return {};
 }
 
--- a/src/peer_transport.cc
+++ b/src/peer_transport.cc
@@ -9,6 +9,7 @@
 
 #include "src/agent_core.h"
 #include "src/framed_stream.h"
+#include "src/keep_running.h"
 #include "src/listener.h"
 #include "src/socket_address.h"
 
@@ -112,18 +113,10 @@
 
 void PeerTransport::State::Start() {
   const auto self = this->shared_from_this();
-  net::co_spawn(
-      this->executor,
-      [](std::shared_ptr<State> state) -> net::awaitable<void> {
-        co_await state->ReceiveDatagrams();
-      }(self),
-      net::detached);
-  net::co_spawn(
-      this->executor,
-      [](std::shared_ptr<State> state) -> net::awaitable<void> {
-        co_await state->Accept();
-      }(self),
-      net::detached);
+  SpawnLoop(this->executor, "peer_datagrams",
+            [self] { return self->ReceiveDatagrams(); });
+  SpawnLoop(this->executor, "peer_connections",
+            [self] { return self->Accept(); });
 }
 
 void PeerTransport::State::Stop() {
@@ -201,9 +194,12 @@
         [](std::shared_ptr<State> state,
            std::shared_ptr<Tcp::socket> accepted) -> net::awaitable<void> {
           co_await state->Receive(accepted);
-          state->incoming.erase(accepted);
         }(this->shared_from_this(), accepted),
-        net::detached);
+        [state = this->shared_from_this(),
+         accepted](const std::exception_ptr& error) {
+          state->incoming.erase(accepted);
+          LogFailureOf("peer_frames")(error);
+        });
   }
 }
 
@@ -266,10 +262,13 @@
       [](std::shared_ptr<State> state, PeerAddress to,
          std::shared_ptr<Outgoing> connection) -> net::awaitable<void> {
         co_await state->Transmit(to, connection);
+      }(this->shared_from_this(), to, connection),
+      [state = this->shared_from_this(), to,
+       connection](const std::exception_ptr& error) {
         state->counters.dropped += connection->frames.size();
         state->outgoing.erase(to);
-      }(this->shared_from_this(), to, connection),
-      net::detached);
+        LogFailureOf("peer_transmission")(error);
+      });
   return connection;
 }
 
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/keep_running.h"
 #include "src/log_event.h"
 
 namespace acacia {
@@ -91,7 +92,13 @@
   bool stopped = false;
 };
 
+// Begins with a full read, also when it is run again: what was being applied
+// when an exception ended it may have been applied in part.
 net::awaitable<void> TableFollower::State::Run() {
+  this->needs_whole = true;
+  this->awaits_relay = false;
+  this->in_call = false;
+  this->is_pausing_after_failure = false;
   bool has_settled = false;
   while (!this->stopped) {
     if (!this->needs_whole && !std::exchange(has_settled, true)) {
@@ -300,12 +307,8 @@
 }
 
 void TableFollower::Start() {
-  net::co_spawn(
-      this->state->executor,
-      [](std::shared_ptr<State> state) -> net::awaitable<void> {
-        co_await state->Run();
-      }(this->state),
-      net::detached);
+  SpawnLoop(this->state->executor, "follow_" + this->state->table,
+            [state = this->state] { return state->Run(); });
 }
 
 void TableFollower::Stop() {
--- a/test/correctness/peer_transport_test.cc
+++ b/test/correctness/peer_transport_test.cc
@@ -136,5 +136,39 @@
   CHECK(counters.malformed == streams.size());
 }
 
+// Guards FAULT: an exception while a datagram was handled ended the receiving
+// without a trace.
+TEST_CASE(
+    "datagrams and frames are received on after one whose handler threw") {
+  net::io_context context;
+  std::vector<std::string> received;
+  PeerTransport receiver(context.get_executor(),
+                         [&](const PeerAddress&, const std::string& bytes) {
+                           if (bytes == "bad") {
+                             throw std::bad_alloc();
+                           }
+                           received.push_back(bytes);
+                         },
+                         {});
+  REQUIRE(receiver.Listen("127.0.0.1:0", ""));
+  Peer sender(context);
+  for (int i = 0; i < 3; ++i) {
+    sender.transport.SendDatagram(receiver.Address(), "bad");
+    sender.transport.SendFrame(receiver.Address(), "bad");
+    context.restart();
+    context.run_for(std::chrono::milliseconds(50));
+  }
+  // A frame that fails ends its connection.
+  sender.transport.SendFrame(receiver.Address(), "frame");
+  context.restart();
+  context.run_for(std::chrono::milliseconds(600));
+  sender.transport.SendFrame(receiver.Address(), "frame");
+  sender.transport.SendDatagram(receiver.Address(), "datagram");
+  RunUntil(context, [&] {
+    return std::count(received.begin(), received.end(), "datagram") == 1 &&
+           std::count(received.begin(), received.end(), "frame") >= 1;
+  });
+}
+
 }  // namespace
 }  // namespace acacia
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -79,7 +79,12 @@
         this->context.get_executor(), "t", this->Store(),
         TableEvents{
             [this](const TableRows& rows) { this->wholes.push_back(rows); },
-            [this](const TableRows& rows) { this->changes.push_back(rows); },
+            [this](const TableRows& rows) {
+              if (this->fail_on_change) {
+                throw std::bad_alloc();
+              }
+              this->changes.push_back(rows);
+            },
             [this](bool available) { this->available.push_back(available); },
             [this](RowVersion after, const TableRows&) {
               this->fetched_after.push_back(after);
@@ -110,6 +115,7 @@
   std::unique_ptr<TableFollower> follower;
   std::vector<TableRows> wholes;
   std::vector<TableRows> changes;
+  bool fail_on_change = false;
   std::vector<bool> available;
   std::vector<RowVersion> fetched_after;
   std::vector<std::optional<RowStoreError>> results;
@@ -372,5 +378,20 @@
   CHECK(f.calls[1].body.find(R"("ver":12)") != std::string::npos);
 }
 
+// Guards CONFIG: an exception while a change was applied ended the following
+// without a trace; the entry stayed with what it knew.
+TEST_CASE("a table is followed on after a change whose handling threw") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Script(200, RowsJson(9, RowJson("b", 9)));
+  f.Script(200, RowsJson(9, RowJson("a", 5) + "," + RowJson("b", 9)));
+  f.fail_on_change = true;
+  f.Follow();
+  f.AwaitCalls(4);
+  REQUIRE(f.wholes.size() == 2);
+  CHECK(f.wholes[1].rows.size() == 2);
+  CHECK(f.follower->Version() == RowVersion(9));
+}
+
 }  // namespace
 }  // namespace acacia
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -689,5 +689,17 @@
   CHECK_FALSE(Field(answer, "Retry-After").empty());
 }
 
+// Guards FAULT: an exception of a handler outside of any request ended the
+// process.
+TEST_CASE("an entry outlives a handler that throws") {
+  HostFixture f([&](TextStream& stream, const std::string&) {
+    return stream.Send(SignedAnswer("abc", "body"));
+  });
+  for (int i = 0; i < 10; ++i) {
+    boost::asio::post(f.entry->Executor(), [] { throw std::bad_alloc(); });
+    CHECK(StatusOf(f.RoundTrip(kPost)) == 200);
+  }
+}
+
 }  // namespace
 }  // namespace acacia
