Answer requests whose handling throws

Callers saw: a connection that closes without an answer if the exception came before anything was sent; otherwise nothing until the deadline and then 504, with the backend server's slot taken meanwhile.

Cause: the exception ended the coroutine of the exchange or of the attempt, and neither wrote an answer nor told the dispatcher. Evidence: the two tests, with exceptions thrown on purpose, got status 0 and 504 on.

Each way into a request (its coroutine, its attempts, the upload, its callbacks) now ends in OnException, which tells the dispatcher, cancels the attempts and lets the request end with entry_failed (not run) if nothing was sent, else with internal (unknown).

--- a/src/caller_session.cc
+++ b/src/caller_session.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/keep_running.h"
 #include "src/log_event.h"
 #include "src/proxy_exchange.h"
 
@@ -45,14 +46,19 @@
       this->strand, this->Run(),
       [self = this->shared_from_this()](const std::exception_ptr& error) {
         if (error) {
-          LogEvent("session_failed", LogSeverity::kError)
-              .With("unanswered", self->exchanges.size());
+          self->LogException(error);
           self->AbortExchanges(BodyError::kClosed);
         }
         self->caller.Close();
       });
 }
 
+void CallerSession::LogException(const std::exception_ptr& error) const {
+  LogEvent("session_failed", LogSeverity::kError)
+      .With("unanswered", this->exchanges.size())
+      .With("reason", DescribeException(error));
+}
+
 void CallerSession::CloseIfIdle() {
   net::post(this->strand, [weak = this->weak_from_this()] {
     const auto self = weak.lock();
@@ -99,7 +105,14 @@
   this->StartIdleTimeout();
   bool more = true;
   while (more) {
-    more = co_await this->ReadNext();
+    try {
+      more = co_await this->ReadNext();
+    } catch (...) {
+      // The requests that have been read are answered.
+      this->LogException(std::current_exception());
+      this->closing = true;
+      more = false;
+    }
   }
   while (!this->exchanges.empty()) {
     co_await this->state_changed.async_wait(kAwait);
@@ -146,7 +159,7 @@
                 [self = this->shared_from_this(), exchange](
                     const std::exception_ptr& error, bool keep_open) {
                   if (error) {
-                    exchange->LogException();
+                    exchange->OnException(error);
                   }
                   self->OnExchangeDone(exchange, keep_open && !error);
                 });
--- a/src/caller_session.h
+++ b/src/caller_session.h
@@ -13,6 +13,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <exception>
 #include <memory>
 
 #include "src/caller_connection.h"
@@ -83,6 +84,7 @@
   void AbortExchanges(BodyError error);
   void ForEachExchange(void (ProxyExchange::*action)());
   void NotifyChanged();
+  void LogException(const std::exception_ptr& error) const;
   void StartIdleTimeout();
   void ArmWatchdog();
   void OnWatchdog();
--- a/src/error_kind.cc
+++ b/src/error_kind.cc
@@ -37,6 +37,8 @@
     {kStopping, "stopping", 503, kNotRun, true, "This entry is stopping."},
     {kBuffersFull, "buffers_full", 503, kNotRun, true,
      "This entry has no memory left for the request's body."},
+    {kEntryFailed, "entry_failed", 503, kNotRun, true,
+     "This entry failed before it passed the request on."},
     {kDuplicateKey, "duplicate_key", 409, kNotRun, false,
      "A request with this Idempotency-Key was already accepted."},
     {kKeyUnverifiable, "key_unverifiable", 503, kNotRun, true,
--- a/src/error_kind.h
+++ b/src/error_kind.h
@@ -24,6 +24,7 @@
   kNotReady,
   kStopping,
   kBuffersFull,
+  kEntryFailed,
   kDuplicateKey,
   kKeyUnverifiable,
   kRetryBudgetSpent,
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -154,10 +154,7 @@
   if (this->may_have_sent_bytes && !this->end_reported) {
     this->exchange.outcome_unknown = true;
   }
-  if (this->connection) {
-    boost::system::error_code ignored;
-    this->connection->socket.close(ignored);
-  }
+  this->CloseConnection();
   if (this->uploading) {
     this->owner.Caller().CancelReads();
   }
@@ -166,6 +163,10 @@
 void ProxyAttempt::OnProgressTimeout() {
   this->progress_deadline = TimePoint::max();
   this->timed_out = true;
+  this->CloseConnection();
+}
+
+void ProxyAttempt::CloseConnection() {
   if (this->connection) {
     boost::system::error_code ignored;
     this->connection->socket.close(ignored);
@@ -290,14 +291,22 @@
 void ProxyAttempt::StartUpload() {
   this->uploading = true;
   ++this->exchange.active_uploads;
-  net::co_spawn(this->owner.Strand(), this->Upload(),
-                [self = this->shared_from_this(),
-                 owner_reference =
-                     this->owner.HoldReference()](const std::exception_ptr&) {
-                  self->uploading = false;
-                  --self->exchange.active_uploads;
-                  self->owner.Signal();
-                });
+  net::co_spawn(
+      this->owner.Strand(), this->Upload(),
+      [self = this->shared_from_this(),
+       owner_reference = this->owner.HoldReference()](
+          const std::exception_ptr& error) { self->OnUploadDone(error); });
+}
+
+void ProxyAttempt::OnUploadDone(const std::exception_ptr& error) {
+  this->uploading = false;
+  --this->exchange.active_uploads;
+  if (error) {
+    this->upload_failed = true;
+    this->owner.EnableCallerTimeout(false);
+    this->owner.OnException(error);
+  }
+  this->owner.Signal();
 }
 
 // Runs concurrently with reading the answer, because a backend server may
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -11,6 +11,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/message.hpp>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <string>
@@ -115,6 +116,9 @@
   virtual void OnAttemptEnd(ProxyAttempt& attempt, AttemptResult result) = 0;
   // The caller closed the connection, timed out or sent a malformed body.
   virtual void OnCallerFailed(BodyError error) = 0;
+  // Logs an exception of the entry's own and ends the request with its final
+  // answer.
+  virtual void OnException(const std::exception_ptr& error) = 0;
   // The caller's connection must be closed after this answer.
   virtual bool MustClose() const = 0;
   // Called before writing an answer after which the connection is closed.
@@ -175,6 +179,7 @@
       boost::beast::http::request_header<> head);
   void StartUpload();
   boost::asio::awaitable<void> Upload();
+  void OnUploadDone(const std::exception_ptr& error);
   boost::asio::awaitable<bool> UploadBody();
   boost::asio::awaitable<bool> SendPiece(boost::asio::const_buffer piece);
   boost::asio::awaitable<tl::expected<std::size_t, BodyError>> ReadUploadPiece(
@@ -203,6 +208,7 @@
   void WriteSpan(AttemptResult result);
   void LogEnd(AttemptResult result) const;
   void ReleaseConnection(bool reusable);
+  void CloseConnection();
 
   EntryContext& context;
   AttemptOwner& owner;
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -5,6 +5,7 @@
 #include <boost/beast.hpp>
 #include <utility>
 
+#include "src/keep_running.h"
 #include "src/log_event.h"
 #include "src/proxy_exchange.h"
 #include "src/request_quarantine.h"
@@ -31,7 +32,7 @@
 void ProxyExchange::Wake() {
   net::post(this->Strand(), [weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
-      self->ProcessActions();
+      self->RunGuarded([&self] { self->ProcessActions(); });
     }
   });
 }
@@ -88,7 +89,7 @@
       [weak = this->weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
         if (self && !error) {
-          self->OnWatchdog();
+          self->RunGuarded([&self] { self->OnWatchdog(); });
         }
       });
 }
@@ -182,7 +183,8 @@
       watching = true;
       this->caller.WatchForClose([weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) {
-          self->OnCallerFailed(BodyError::kClosed);
+          self->RunGuarded(
+              [&self] { self->OnCallerFailed(BodyError::kClosed); });
         }
       });
     }
@@ -307,11 +309,14 @@
 // outcome: never "not run" once an attempt may have run, and "not run" for a
 // timeout before any byte was sent.
 ErrorKind ProxyExchange::ErrorKindForOutcome(ErrorKind kind) const {
-  if (kind == ErrorKind::kBackendTimeout && !this->exchange->outcome_unknown) {
+  const bool may_have_run = this->exchange && this->exchange->outcome_unknown;
+  if (kind == ErrorKind::kEntryFailed) {
+    return may_have_run ? ErrorKind::kInternal : kind;
+  }
+  if (kind == ErrorKind::kBackendTimeout && !may_have_run) {
     return ErrorKind::kConnectFailed;
   }
-  if (AnswerFor(kind).outcome == Outcome::kUnknown ||
-      !this->exchange->outcome_unknown) {
+  if (AnswerFor(kind).outcome == Outcome::kUnknown || !may_have_run) {
     return kind;
   }
   return ErrorKind::kBackendBroken;
@@ -351,16 +356,35 @@
   net::co_spawn(this->Strand(), attempt->Run(),
                 [self = this->shared_from_this(),
                  attempt](const std::exception_ptr& error) {
-                  if (error) {
-                    LogEvent("attempt_failed", LogSeverity::kError)
-                        .With("backend_server", attempt->Backend());
-                    attempt->Cancel();
-                  }
-                  std::erase(self->attempts, attempt);
-                  self->Signal();
+                  self->OnAttemptDone(attempt, error);
                 });
 }
 
+void ProxyExchange::OnAttemptDone(const std::shared_ptr<ProxyAttempt>& attempt,
+                                  const std::exception_ptr& error) {
+  std::erase(this->attempts, attempt);
+  if (error) {
+    LogEvent("attempt_failed", LogSeverity::kError)
+        .With("request", this->LoggedId())
+        .With("backend_server", attempt->Backend())
+        .With("reason", DescribeException(error));
+    const bool is_needed = !attempt->IsCancelled();
+    attempt->Cancel();
+    if (is_needed) {
+      this->OnException(error);
+    }
+  }
+  this->Signal();
+}
+
+void ProxyExchange::RunGuarded(const std::function<void()>& callback) {
+  try {
+    callback();
+  } catch (...) {
+    this->OnException(std::current_exception());
+  }
+}
+
 void ProxyExchange::Handle(const CancelAttempt& action) {
   for (const auto& attempt : this->attempts) {
     if (attempt->Id() == action.attempt) {
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "src/keep_running.h"
 #include "src/log_event.h"
 #include "src/query_string.h"
 #include "src/retry_after.h"
@@ -72,6 +73,15 @@
 net::awaitable<bool> ProxyExchange::Run(tl::expected<void, HeadError> head) {
   const ActiveRequest active(this->context.active_requests);
   this->start_time = this->context.clock.Now();
+  try {
+    co_return co_await this->Answer(head);
+  } catch (...) {
+    this->OnException(std::current_exception());
+  }
+  co_return co_await this->AnswerAfterException();
+}
+
+net::awaitable<bool> ProxyExchange::Answer(tl::expected<void, HeadError> head) {
   if (!head) {
     co_return co_await this->Refuse(head.error() == HeadError::kTooLarge
                                         ? ErrorKind::kHeaderTooLarge
@@ -83,10 +93,40 @@
   co_return co_await this->AnswerRequest();
 }
 
-void ProxyExchange::LogException() const {
+void ProxyExchange::OnException(const std::exception_ptr& error) {
   LogEvent("request_broke", LogSeverity::kError)
       .With("request", this->LoggedId())
-      .With("service", this->service_name);
+      .With("service", this->service_name)
+      .With("reason", DescribeException(error));
+  this->refusal = ErrorKind::kEntryFailed;
+  if (this->is_dispatched) {
+    try {
+      this->ReportCallerLeft();
+    } catch (...) {
+      LogFailureOf("report_caller_left")(std::current_exception());
+    }
+  }
+  this->CancelAttempts();
+  this->Signal();
+}
+
+net::awaitable<bool> ProxyExchange::AnswerAfterException() {
+  while (!this->attempts.empty() ||
+         (this->exchange && this->exchange->active_uploads > 0)) {
+    co_await this->WaitForSignal();
+  }
+  if (this->is_dispatched) {
+    this->context.registry.Remove(this->exchange->id);
+  }
+  const bool relay_started =
+      this->relaying && this->relaying->HasRelayStarted();
+  if (relay_started || this->reply_begun || this->caller_failed) {
+    co_return false;
+  }
+  // Where the request ends on the connection is not known.
+  this->caller.MarkOutOfSync();
+  co_return co_await this->Refuse(
+      this->ErrorKindForOutcome(ErrorKind::kEntryFailed));
 }
 
 net::awaitable<bool> ProxyExchange::AnswerRequest() {
@@ -398,6 +438,7 @@
     this->OnClosingAnswer();
   }
   this->EnableCallerTimeout(true);
+  this->reply_begun = true;
   const auto [error, bytes] =
       co_await http::async_write(this->caller.Socket(), reply, kAwait);
   this->EnableCallerTimeout(false);
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -8,6 +8,8 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <exception>
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -51,7 +53,7 @@
   // answered: this one may be retried, and its body has been read to the end.
   bool AllowsPipelining() const { return this->allows_pipelining; }
 
-  void LogException() const;
+  void OnException(const std::exception_ptr& error) override;
 
   void Push(const DispatchAction& action) override;
   void Wake() override;
@@ -76,7 +78,10 @@
   boost::asio::awaitable<bool> AwaitTurn() override;
   bool IsTurn() const override;
 
+  boost::asio::awaitable<bool> Answer(tl::expected<void, HeadError> head);
   boost::asio::awaitable<bool> AnswerRequest();
+  // Writes the final answer of a request whose handling threw.
+  boost::asio::awaitable<bool> AnswerAfterException();
   boost::asio::awaitable<bool> AnswerLookup();
   boost::asio::awaitable<bool> ProxyTo(
       std::shared_ptr<const EntrySnapshot> snapshot,
@@ -105,6 +110,10 @@
   bool IsCallerSending() const;
   void RefuseForStop();
   void ReportCallerLeft();
+  // Runs a callback, whose exception must end this request only.
+  void RunGuarded(const std::function<void()>& callback);
+  void OnAttemptDone(const std::shared_ptr<ProxyAttempt>& attempt,
+                     const std::exception_ptr& error);
   bool IsOver() const;
   void ProcessActions();
   std::optional<DispatchAction> PopAction();
@@ -140,6 +149,8 @@
   // Suspended in a read of the body, before the request is dispatched.
   bool is_reading_body = false;
   bool is_dispatched = false;
+  // An answer of the entry's own is being, or has been, written.
+  bool reply_begun = false;
   TimePoint start_time;
   ServiceName service_name;
   // Generation of the configuration that routed the request.
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -32,7 +32,11 @@
 // be retried on another one.
 class HostFixture : public ProxyFixture {
  public:
-  explicit HostFixture(BackendScript script, std::uint32_t memory_mb = 0)
+  // `adjust` may change the entry's policy.
+  explicit HostFixture(
+      BackendScript script,
+      std::uint32_t memory_mb = 0,
+      const std::function<void(EntryPolicy&)>& adjust = [](EntryPolicy&) {})
       : ProxyFixture(std::move(script)) {
     this->settings.buffered_answer_bytes = 65536;
     this->settings.memory_mb = memory_mb;
@@ -46,6 +50,7 @@
                              RandomSource& random) {
       return std::make_unique<FleetPool>(service, FailureDomain("a"), random);
     };
+    adjust(policy);
     this->settings.agent_address.clear();
     this->entry = std::make_unique<EntryServer>(this->settings, this->clock,
                                                 std::move(policy));
@@ -689,6 +694,81 @@
   CHECK_FALSE(Field(answer, "Retry-After").empty());
 }
 
+// Throws where a backend server is chosen.
+class FailingPool : public FleetPool {
+ public:
+  using FleetPool::FleetPool;
+  PooledBackend* Pick(const PickRequest& request, TimePoint now) override {
+    if (this->failing) {
+      throw std::bad_alloc();
+    }
+    return FleetPool::Pick(request, now);
+  }
+
+  inline static std::atomic<bool> failing{false};
+};
+
+// Guards LOST: a request whose handling threw before anything was sent got no
+// answer.
+TEST_CASE("a request that the entry fails before it is sent is refused") {
+  std::atomic<int> attempts{0};
+  HostFixture f(
+      [&](TextStream& stream, const std::string&) {
+        ++attempts;
+        return stream.Send(SignedAnswer("abc", "body"));
+      },
+      0,
+      [](EntryPolicy& policy) {
+        policy.make_chooser = [](const ServiceName& service, const InstanceId&,
+                                 RandomSource& random) {
+          return std::make_unique<FailingPool>(service, FailureDomain("a"),
+                                               random);
+        };
+      });
+  for (const std::string& request : {std::string(kGet), std::string(kPost)}) {
+    FailingPool::failing = true;
+    const std::string answer = f.RoundTrip(request);
+    FailingPool::failing = false;
+    CHECK(StatusOf(answer) == 503);
+    CHECK(Field(answer, "Acacia-Error") == "entry_failed");
+    CHECK_FALSE(Field(answer, "Retry-After").empty());
+    CHECK(attempts == 0);
+  }
+  CHECK(StatusOf(f.RoundTrip(kPost)) == 200);
+}
+
+// Guards LOST and REFUSED: a request whose handling threw after it was sent was
+// answered only at its deadline, and its backend server's slot stayed taken
+// until then.
+TEST_CASE("a request that the entry fails after it was sent is answered") {
+  std::atomic<int> attempts{0};
+  std::atomic<bool> failing{true};
+  HostFixture f(
+      [&](TextStream& stream, const std::string&) {
+        ++attempts;
+        return stream.Send(SignedAnswer("abc", "body"));
+      },
+      0,
+      [&](EntryPolicy& policy) {
+        policy.dialect.announces_leaving = [&](const auto&) {
+          if (failing) {
+            throw std::bad_alloc();
+          }
+          return false;
+        };
+      });
+  // More than the slots of both backend servers.
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string answer = f.RoundTrip(i % 2 == 0 ? kPost : kGet);
+    CHECK(StatusOf(answer) == 500);
+    CHECK(Field(answer, "Acacia-Error") == "internal");
+  }
+  CHECK(attempts == kRequests);
+  failing = false;
+  CHECK(StatusOf(f.RoundTrip(kPost)) == 200);
+}
+
 // Guards FAULT: an exception of a handler outside of any request ended the
 // process.
 TEST_CASE("an entry outlives a handler that throws") {
