Treat a first reading without history as one that failed

Callers saw: nothing known. A store that answers 410 to a full reading made the entry read it again at once, without a pause and without reporting that the store is unavailable; the first time it also logged a version that it did not have (an empty optional, undefined behaviour).

A full reading needs no history, so 410 is taken as unavailable: logged, and repeated after the usual pause. Before, the test saw no report of the store's being unavailable.

Class: an answer that the protocol does not foresee for this call. The other statuses already count as unavailable for every call.

--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -120,7 +120,10 @@
   }
   this->ReportCall(rows);
   if (!rows) {
-    co_await this->OnFailure(rows.error());
+    // A full reading needs no history.
+    co_await this->OnFailure(rows.error() == RowStoreError::kHistoryGone
+                                 ? RowStoreError::kUnavailable
+                                 : rows.error());
     co_return;
   }
   this->SetAvailable(true);
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -393,5 +393,17 @@
   CHECK(f.follower->Version() == RowVersion(9));
 }
 
+// Guards FAULT: the first reading has no version that could be logged.
+TEST_CASE("a store without history for the first reading is asked again") {
+  FollowerFixture f;
+  f.Script(410, "");
+  f.Script(410, "");
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Follow();
+  f.AwaitCalls(4);
+  CHECK(f.wholes.size() == 1);
+  CHECK(f.available == std::vector<bool>{false, true});
+}
+
 }  // namespace
 }  // namespace acacia
