Bound the good answers that are counted in a peer's report

Callers saw: nothing known. A report with a wrong count kept the service's lock, and the strand that answers for readiness, for minutes.

Cause: the answers were counted one by one, up to 2^32 - 1.

The loop ends after 1,000, more than an entry sees between two reports; each halves the suspicion, so further ones change nothing.

--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -61,6 +61,10 @@
 // requests from this load per slot on.
 constexpr double kMaxOverflowPerSlot = 2;
 
+// Good answers counted in one report of another entry, more than it can have
+// seen since the one before. Each halves the suspicion.
+constexpr std::uint32_t kMaxReportedGood = 1000;
+
 // Longer than a backend server that has left may still appear in a registry.
 constexpr Duration kLeavingMemory = std::chrono::minutes(10);
 
@@ -626,7 +630,7 @@
                        suspicion::kServerError * each.server_errors +
                        suspicion::kSlow * each.slow +
                        suspicion::kSilent * each.silent;
-    for (std::uint32_t i = 0; i < each.good; ++i) {
+    for (std::uint32_t i = 0; i < std::min(each.good, kMaxReportedGood); ++i) {
       this->AddGood(*backend, from, now);
     }
     if (bad > 0) {
--- a/test/correctness/fleet_pool_test.cc
+++ b/test/correctness/fleet_pool_test.cc
@@ -1,6 +1,7 @@
 #include "src/fleet_pool.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <set>
 
 namespace acacia {
@@ -588,5 +589,18 @@
   CHECK(f.pool.SlowThreshold(work) == milliseconds(400));
 }
 
+// Guards FAULT: the number of good answers that a peer reports was counted one
+// by one, for minutes if it was wrong, while no request could start.
+TEST_CASE("a report of countless good answers is taken in no time") {
+  PoolFixture f;
+  f.ReportOutcomes(0, 0, 5);
+  CHECK_FALSE(f.UsedByNonIdempotent().contains(f.Id(0)));
+  constexpr int kReports = 100;
+  for (int i = 0; i < kReports; ++i) {
+    f.ReportOutcomes(0, std::numeric_limits<std::uint32_t>::max(), 0);
+  }
+  CHECK(f.UsedByNonIdempotent().contains(f.Id(0)));
+}
+
 }  // namespace
 }  // namespace acacia
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -468,6 +468,7 @@
   for (int i = 0; i < kMessages && !entry.process->HasEnded(); ++i) {
     send_frame(Mutate(valid[random.Below(valid.size())], random));
   }
+  AwaitIdle(*entry.process);
   TextStream caller = entry.Connect();
   caller.Send(HostEntry::Head("after", 2) + "hi");
   CHECK(StatusOf(caller.ReadMessage()) == 200);
