--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -476,5 +476,37 @@
   CHECK(entry.IsReady());
 }
 
+// Guards LOST: whatever a backend server answers, the caller gets an answer, or
+// the beginning of one that breaks off.
+TEST_CASE("An entry answers whatever its backend servers send") {
+  constexpr std::uint64_t kSeed = 1;
+  constexpr int kRequests = 400;
+  SeededRandom random(kSeed);
+  std::mutex mutex;
+  HostEntry entry([&](TextStream& stream, const std::string& request) {
+    const std::string more =
+        "Retry-After: 0.01\r\nServer-Limit: 1000\r\nServer-Leaving: 0\r\n"
+        "X-Acaciaswitch-Server-Load: 1,0,500\r\nKeep-Alive: timeout=5\r\n";
+    std::string answer = HostEntry::Answer(request);
+    answer.insert(answer.find("\r\n") + 2, more);
+    const std::lock_guard lock(mutex);
+    stream.Send(Mutate(answer, random));
+    return random.Below(2) == 0;
+  });
+  entry.Start();
+  entry.AwaitReady();
+  int unanswered = 0;
+  for (int i = 0; i < kRequests && !entry.process->HasEnded(); ++i) {
+    // Distinct bodies, so that no request is quarantined.
+    const std::string id = "r" + std::to_string(i);
+    TextStream caller = entry.Connect();
+    caller.Send(HostEntry::Head(id, id.size(), 100) + id);
+    unanswered += StatusOf(caller.ReadMessage()) == 0 ? 1 : 0;
+  }
+  CHECK(unanswered == 0);
+  CHECK_FALSE(entry.process->HasEnded());
+  CHECK(entry.IsReady());
+}
+
 }  // namespace
 }  // namespace acacia
