--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -21,6 +21,7 @@
 #include "src/entry_server.h"
 #include "src/fleet_pool.h"
 #include "src/host_control.h"
+#include "src/keep_running.h"
 #include "src/log_event.h"
 #include "src/log_writer.h"
 #include "src/process_setup.h"
@@ -72,14 +73,16 @@
       : signals(context, SIGTERM, SIGINT, SIGHUP),
         file_timer(context),
         file(std::move(file)),
-        last_write(this->LastWriteTime()) {}
+        last_write(this->LastWriteTime()) {
+    acacia::UnblockSignals({SIGTERM, SIGINT, SIGHUP});
+  }
   ~SignalHandler() { this->Stop(); }
   SignalHandler(const SignalHandler&) = delete;
   SignalHandler& operator=(const SignalHandler&) = delete;
 
   void Start() {
     this->AwaitSignal();
-    this->thread = std::thread([this] { this->context.run(); });
+    this->thread = std::thread([this] { acacia::RunHandlers(this->context); });
   }
 
   // Must be called before the server's Start. `server` and what `reload` uses
@@ -114,8 +117,8 @@
     this->signals.async_wait(
         [this](const boost::system::error_code& error, int signal) {
           if (!error) {
-            this->OnSignal(signal);
             this->AwaitSignal();
+            this->OnSignal(signal);
           }
         });
   }
@@ -133,8 +136,8 @@
       if (error) {
         return;
       }
-      this->ReloadIfChanged();
       this->WatchFile();
+      this->ReloadIfChanged();
     });
   }
 
--- a/src/process_setup.h
+++ b/src/process_setup.h
@@ -3,11 +3,12 @@
 #define SRC_PROCESS_SETUP_H_
 
 #include <cstdint>
+#include <initializer_list>
 
 namespace acacia {
 
-// Ignores SIGPIPE, so that writing to a pipe or socket whose reader has gone
-// fails instead of ending the process. Opens /dev/null in place of each closed
+// Ignores the signals that would end the process for reasons that concern only
+// its log, or none at all. Opens /dev/null in place of each closed
 // standard stream, so that no socket gets its number and with it the log. Must
 // be called before the process opens any file or starts a thread.
 //
@@ -15,6 +16,11 @@
 // handles the signal itself.
 void PrepareProcess();
 
+// Unblocks signals that the program handles: a process inherits the blocked
+// signals of the one that starts it. Must be called once they are handled and
+// before other threads start.
+void UnblockSignals(std::initializer_list<int> signals);
+
 // Returns how many descriptors the system lets the process open; 0 if any
 // number.
 std::uint32_t DescriptorLimit();
--- a/test/host_entry.h
+++ b/test/host_entry.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -136,9 +137,12 @@
   HostEntry& operator=(const HostEntry&) = delete;
 
   std::string SettingsFile() const { return this->folder + "/entry.json"; }
+  // ACACIA_ENTRY names another build of the program, such as one with a
+  // sanitizer.
   std::vector<std::string> Command() const {
-    return {ACACIA_BINARY_DIR "/acacia-entry", "--settings",
-            this->SettingsFile()};
+    const char* program = std::getenv("ACACIA_ENTRY");
+    return {program == nullptr ? ACACIA_BINARY_DIR "/acacia-entry" : program,
+            "--settings", this->SettingsFile()};
   }
   void Start() {
     this->process =
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -6,6 +6,9 @@
 #include <array>
 #include <sstream>
 
+#include "src/flat_table.h"
+#include "src/peer_messages.h"
+#include "src/random_source.h"
 #include "src/socket_address.h"
 #include "test/host_entry.h"
 
@@ -156,263 +159,434 @@
   entry.process->Signal(SIGTERM);
   CHECK(entry.process->Wait() == 0);
   CHECK(entry.process->Log().find("event=cannot_listen") == std::string::npos);
-}
 
-// Guards LOST: a second SIGTERM cut off the requests that the first lets end.
-TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
-  std::promise<void> arrived;
-  std::promise<void> work;
-  HostEntry entry([&](TextStream& stream, const std::string& request) {
-    arrived.set_value();
-    work.get_future().wait();
-    return stream.Send(HostEntry::Answer(request));
-  });
-  entry.Start();
-  entry.AwaitReady();
-  TextStream caller = entry.Connect();
-  caller.Send(HostEntry::Head("r1", 2) + "hi");
-  arrived.get_future().wait();
-  for (int i = 0; i < 3; ++i) {
-    entry.process->Signal(SIGTERM);
-    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  // Guards FAULT and LOST: the entry was ended, with all requests in flight,
+  // when the file that it writes its log to had reached the limit on the size
+  // of files.
+  TEST_CASE("An entry outlives the limit on the size of its log") {
+    HostEntry entry(Echo);
+    // In blocks of 512 bytes.
+    entry.StartByShell("ulimit -f 16 && exec \"$0\" \"$@\"");
+    entry.AwaitReady();
+    for (int i = 0; i < 200; ++i) {
+      TextStream caller = entry.Connect();
+      caller.Send(HostEntry::Head("r" + std::to_string(i), 2) + "hi");
+      REQUIRE(StatusOf(caller.ReadMessage()) == 200);
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    CHECK(entry.process->Log().size() == 16 * 512);
+    CHECK_FALSE(entry.process->HasEnded());
+    CHECK(entry.IsReady());
   }
-  work.set_value();
-  CHECK(StatusOf(caller.ReadMessage()) == 200);
-  caller.Close();
-  CHECK(entry.process->Wait() == 0);
-}
-
-// Sends the last byte of a request whose beginning was sent before.
-void SendLastByte(TextStream& caller) {
-  caller.Send("x");
-}
 
-// Guards LOST: requests that became whole late in a planned stop were passed on
-// and cut off at its end.
-TEST_CASE("A planned stop refuses the requests that it could cut off") {
-  std::mutex mutex;
-  std::set<std::string> arrived;
-  std::promise<void> finish;
-  const std::shared_future<void> finished = finish.get_future().share();
-  HostEntry entry([&](TextStream& stream, const std::string& request) {
-    const std::string id = Field(request, "X-Acaciaswitch-Request-Id");
-    {
-      const std::lock_guard lock(mutex);
-      arrived.insert(id);
-    }
-    if (id == "hangs") {
-      finished.wait();
-      return false;
+  // Guards FAULT and LOST: a signal that is sent to all programs of a machine,
+  // as by a log rotator, ended the entry.
+  TEST_CASE("An entry outlives signals that have no meaning for it") {
+    HostEntry entry(Echo);
+    entry.Start();
+    entry.AwaitReady();
+    for (const int signal : {SIGUSR1, SIGUSR2, SIGPIPE, SIGXFSZ}) {
+      entry.process->Signal(signal);
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      INFO(signal);
+      CHECK_FALSE(entry.process->HasEnded());
     }
-    if (id != "urgent") {
-      finished.wait_for(std::chrono::seconds(2));
-    }
-    return stream.Send(HostEntry::Answer(request));
-  });
-  entry.Start();
-  entry.AwaitReady();
-  const auto begin = [&](const std::string& id, int deadline_ms) {
-    TextStream caller = entry.Connect();
-    caller.Send(HostEntry::Head(id, 2, deadline_ms) + "x");
-    return caller;
-  };
-  TextStream early = begin("early", 8000);
-  TextStream hangs = begin("hangs", 8000);
-  // Its deadline counts from the end of its head.
-  const std::string urgent_request = HostEntry::Head("urgent", 2, 1000) + "xx";
-  constexpr std::size_t kPartOfHead = 20;
-  TextStream urgent = entry.Connect();
-  urgent.Send(urgent_request.substr(0, kPartOfHead));
-  std::vector<TextStream> late;
-  for (int i = 0; i < 8; ++i) {
-    late.push_back(begin("late-" + std::to_string(i), 8000));
+    CHECK(entry.IsReady());
   }
-  // All of them have been accepted when a later connection is answered.
-  TextStream last = begin("last", 8000);
-  SendLastByte(last);
-  REQUIRE(StatusOf(last.ReadMessage()) == 200);
 
-  const auto stopped_at = std::chrono::steady_clock::now();
-  const auto sleep_until = [&](int milliseconds) {
-    std::this_thread::sleep_until(stopped_at +
-                                  std::chrono::milliseconds(milliseconds));
-  };
-  entry.process->Signal(SIGTERM);
-  sleep_until(300);
-  SendLastByte(early);
-  SendLastByte(hangs);
-  // More than half of the grace time of six seconds.
-  sleep_until(3500);
-  urgent.Send(urgent_request.substr(kPartOfHead));
-  sleep_until(4300);
-  for (std::size_t i = 0; i < late.size() / 2; ++i) {
-    SendLastByte(late[i]);
+  // Guards LOST: an entry whose starter blocks SIGTERM was never told to stop,
+  // so that each stop was cut off by SIGKILL.
+  TEST_CASE("An entry stops although its starter blocks signals") {
+    for (const int signal : {SIGTERM, SIGINT}) {
+      HostEntry entry(Echo);
+      sigset_t all;
+      sigset_t before;
+      sigfillset(&all);
+      pthread_sigmask(SIG_SETMASK, &all, &before);
+      entry.Start();
+      pthread_sigmask(SIG_SETMASK, &before, nullptr);
+      entry.AwaitReady();
+      entry.process->Signal(signal);
+      Await("the entry to stop", [&] { return entry.process->HasEnded(); });
+      CHECK(entry.process->Wait() == 0);
+    }
   }
-  sleep_until(5000);
-  for (std::size_t i = late.size() / 2; i < late.size(); ++i) {
-    SendLastByte(late[i]);
+
+  // Guards LOST: a second SIGTERM cut off the requests that the first lets end.
+  TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
+    std::promise<void> arrived;
+    std::promise<void> work;
+    HostEntry entry([&](TextStream& stream, const std::string& request) {
+      arrived.set_value();
+      work.get_future().wait();
+      return stream.Send(HostEntry::Answer(request));
+    });
+    entry.Start();
+    entry.AwaitReady();
+    TextStream caller = entry.Connect();
+    caller.Send(HostEntry::Head("r1", 2) + "hi");
+    arrived.get_future().wait();
+    for (int i = 0; i < 3; ++i) {
+      entry.process->Signal(SIGTERM);
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    }
+    work.set_value();
+    CHECK(StatusOf(caller.ReadMessage()) == 200);
+    caller.Close();
+    CHECK(entry.process->Wait() == 0);
   }
-  for (TextStream& caller : late) {
-    const std::string answer = caller.ReadMessage();
-    CHECK(StatusOf(answer) == 503);
-    CHECK(Field(answer, "Connection") == "close");
-    CHECK_FALSE(Field(answer, "Retry-After").empty());
+
+  // Sends the last byte of a request whose beginning was sent before.
+  void SendLastByte(TextStream & caller) {
+    caller.Send("x");
   }
-  CHECK(StatusOf(early.ReadMessage()) == 200);
-  // Its deadline lies within the stop.
-  CHECK(StatusOf(urgent.ReadMessage()) == 200);
-  // It may have run: no refusal, but a final answer before the process ends.
-  CHECK(StatusOf(hangs.ReadMessage()) == 504);
-  CHECK(entry.process->Wait() == 0);
-  CHECK(std::chrono::steady_clock::now() - stopped_at <
-        std::chrono::seconds(6));
-  finish.set_value();
-  CHECK(arrived == std::set<std::string>{"early", "hangs", "last", "urgent"});
-}
 
-// Waits until the process has used no processor time for a second.
-void AwaitIdle(const Process& process) {
-  constexpr int kIdlePolls = 20;
-  const std::string file = "/proc/" + std::to_string(process.Pid()) + "/stat";
-  std::string before;
-  int idle_polls = 0;
-  Await("the entry to have nothing to do", [&] {
-    std::istringstream fields(ReadFile(file));
-    std::string used;
-    // User and system time are the 14th and 15th field.
-    for (int i = 1; i <= 15; ++i) {
-      std::string field;
-      fields >> field;
-      used += i >= 14 ? field + " " : "";
+  // Guards LOST: requests that became whole late in a planned stop were passed
+  // on and cut off at its end.
+  TEST_CASE("A planned stop refuses the requests that it could cut off") {
+    std::mutex mutex;
+    std::set<std::string> arrived;
+    std::promise<void> finish;
+    const std::shared_future<void> finished = finish.get_future().share();
+    HostEntry entry([&](TextStream& stream, const std::string& request) {
+      const std::string id = Field(request, "X-Acaciaswitch-Request-Id");
+      {
+        const std::lock_guard lock(mutex);
+        arrived.insert(id);
+      }
+      if (id == "hangs") {
+        finished.wait();
+        return false;
+      }
+      if (id != "urgent") {
+        finished.wait_for(std::chrono::seconds(2));
+      }
+      return stream.Send(HostEntry::Answer(request));
+    });
+    entry.Start();
+    entry.AwaitReady();
+    const auto begin = [&](const std::string& id, int deadline_ms) {
+      TextStream caller = entry.Connect();
+      caller.Send(HostEntry::Head(id, 2, deadline_ms) + "x");
+      return caller;
+    };
+    TextStream early = begin("early", 8000);
+    TextStream hangs = begin("hangs", 8000);
+    // Its deadline counts from the end of its head.
+    const std::string urgent_request =
+        HostEntry::Head("urgent", 2, 1000) + "xx";
+    constexpr std::size_t kPartOfHead = 20;
+    TextStream urgent = entry.Connect();
+    urgent.Send(urgent_request.substr(0, kPartOfHead));
+    std::vector<TextStream> late;
+    for (int i = 0; i < 8; ++i) {
+      late.push_back(begin("late-" + std::to_string(i), 8000));
     }
-    idle_polls = used == before ? idle_polls + 1 : 0;
-    before = used;
-    return idle_polls >= kIdlePolls;
-  });
-}
+    // All of them have been accepted when a later connection is answered.
+    TextStream last = begin("last", 8000);
+    SendLastByte(last);
+    REQUIRE(StatusOf(last.ReadMessage()) == 200);
 
-// In megabytes, since the process began.
-std::size_t PeakMemory(const Process& process) {
-  std::ifstream status("/proc/" + std::to_string(process.Pid()) + "/status");
-  std::string word;
-  while (status >> word && word != "VmHWM:") {
+    const auto stopped_at = std::chrono::steady_clock::now();
+    const auto sleep_until = [&](int milliseconds) {
+      std::this_thread::sleep_until(stopped_at +
+                                    std::chrono::milliseconds(milliseconds));
+    };
+    entry.process->Signal(SIGTERM);
+    sleep_until(300);
+    SendLastByte(early);
+    SendLastByte(hangs);
+    // More than half of the grace time of six seconds.
+    sleep_until(3500);
+    urgent.Send(urgent_request.substr(kPartOfHead));
+    sleep_until(4300);
+    for (std::size_t i = 0; i < late.size() / 2; ++i) {
+      SendLastByte(late[i]);
+    }
+    sleep_until(5000);
+    for (std::size_t i = late.size() / 2; i < late.size(); ++i) {
+      SendLastByte(late[i]);
+    }
+    for (TextStream& caller : late) {
+      const std::string answer = caller.ReadMessage();
+      CHECK(StatusOf(answer) == 503);
+      CHECK(Field(answer, "Connection") == "close");
+      CHECK_FALSE(Field(answer, "Retry-After").empty());
+    }
+    CHECK(StatusOf(early.ReadMessage()) == 200);
+    // Its deadline lies within the stop.
+    CHECK(StatusOf(urgent.ReadMessage()) == 200);
+    // It may have run: no refusal, but a final answer before the process ends.
+    CHECK(StatusOf(hangs.ReadMessage()) == 504);
+    CHECK(entry.process->Wait() == 0);
+    CHECK(std::chrono::steady_clock::now() - stopped_at <
+          std::chrono::seconds(6));
+    finish.set_value();
+    CHECK(arrived == std::set<std::string>{"early", "hangs", "last", "urgent"});
   }
-  std::size_t kilobytes = 0;
-  status >> kilobytes;
-  return kilobytes / 1024;
-}
 
-// Guards FAULT and LOST: uploads that came at once took more memory than the
-// process may use.
-TEST_CASE("Uploads that come at once stay within the entry's memory") {
-  constexpr std::size_t kMemoryMb = 260;
-  constexpr std::size_t kUploads = 400;
-  constexpr std::size_t kThreads = 20;
-  const std::string body(1024 * 1024, 'x');
-  HostEntry entry(Echo, "upload",
-                  R"("memory_mb": )" + std::to_string(kMemoryMb));
-  entry.Start();
-  entry.AwaitReady();
-  std::atomic<std::size_t> begun{0};
-  std::atomic<bool> read{false};
-  std::atomic<int> served{0};
-  std::atomic<int> refused{0};
-  std::vector<std::thread> threads;
-  for (std::size_t i = 0; i < kThreads; ++i) {
-    threads.emplace_back([&, i] {
-      std::vector<TextStream> callers;
-      for (std::size_t j = 0; j < kUploads / kThreads; ++j) {
-        callers.push_back(entry.Connect());
-        callers.back().Send(
-            HostEntry::Head("r" + std::to_string(i) + "-" + std::to_string(j),
-                            body.size(), 60000));
-        callers.back().Send(body.substr(1));
-        ++begun;
-      }
-      Await("all uploads to have been read", [&] { return read.load(); });
-      for (TextStream& caller : callers) {
-        SendLastByte(caller);
-        const std::string answer = caller.ReadMessage();
-        served += StatusOf(answer) == 200 ? 1 : 0;
-        refused += StatusOf(answer) == 503 ? 1 : 0;
+  // Waits until the process has used no processor time for a second.
+  void AwaitIdle(const Process& process) {
+    constexpr int kIdlePolls = 20;
+    const std::string file = "/proc/" + std::to_string(process.Pid()) + "/stat";
+    std::string before;
+    int idle_polls = 0;
+    Await("the entry to have nothing to do", [&] {
+      std::istringstream fields(ReadFile(file));
+      std::string used;
+      // User and system time are the 14th and 15th field.
+      for (int i = 1; i <= 15; ++i) {
+        std::string field;
+        fields >> field;
+        used += i >= 14 ? field + " " : "";
       }
+      idle_polls = used == before ? idle_polls + 1 : 0;
+      before = used;
+      return idle_polls >= kIdlePolls;
     });
   }
-  Await("all uploads to be begun", [&] { return begun == kUploads; });
-  AwaitIdle(*entry.process);
-  read = true;
-  for (std::thread& thread : threads) {
-    thread.join();
+
+  // In megabytes, since the process began.
+  std::size_t PeakMemory(const Process& process) {
+    std::ifstream status("/proc/" + std::to_string(process.Pid()) + "/status");
+    std::string word;
+    while (status >> word && word != "VmHWM:") {
+    }
+    std::size_t kilobytes = 0;
+    status >> kilobytes;
+    return kilobytes / 1024;
   }
-  CHECK(served > 0);
-  CHECK(refused > 0);
-  CHECK(served + refused == static_cast<int>(kUploads));
-  CHECK_FALSE(entry.process->HasEnded());
-  CHECK(PeakMemory(*entry.process) < kMemoryMb);
-  // What was held is free again.
-  TextStream caller = entry.Connect();
-  caller.Send(HostEntry::Head("after", body.size()) + body);
-  CHECK(StatusOf(caller.ReadMessage()) == 200);
-}
 
-// Guards FAULT and LOST: connections that nobody used took all descriptors, so
-// that none were left for backend servers and for telling that it is ready.
-TEST_CASE("Idle callers leave descriptors for those that are served") {
-  HostEntry entry(Echo);
-  entry.StartWithDescriptors(256);
-  entry.AwaitReady();
-  const auto is_served = [&](TextStream& caller, const std::string& id) {
-    caller.Send(HostEntry::Head(id, 2) + "hi");
-    return StatusOf(caller.ReadMessage()) == 200;
-  };
-  std::vector<TextStream> kept;
-  for (int i = 0; i < 42; ++i) {
-    kept.push_back(entry.Connect());
-    REQUIRE(is_served(kept.back(), "before-" + std::to_string(i)));
+  // Guards FAULT and LOST: uploads that came at once took more memory than the
+  // process may use.
+  TEST_CASE("Uploads that come at once stay within the entry's memory") {
+    constexpr std::size_t kMemoryMb = 260;
+    constexpr std::size_t kUploads = 400;
+    constexpr std::size_t kThreads = 20;
+    const std::string body(1024 * 1024, 'x');
+    HostEntry entry(Echo, "upload",
+                    R"("memory_mb": )" + std::to_string(kMemoryMb));
+    entry.Start();
+    entry.AwaitReady();
+    std::atomic<std::size_t> begun{0};
+    std::atomic<bool> read{false};
+    std::atomic<int> served{0};
+    std::atomic<int> refused{0};
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < kThreads; ++i) {
+      threads.emplace_back([&, i] {
+        std::vector<TextStream> callers;
+        for (std::size_t j = 0; j < kUploads / kThreads; ++j) {
+          callers.push_back(entry.Connect());
+          callers.back().Send(
+              HostEntry::Head("r" + std::to_string(i) + "-" + std::to_string(j),
+                              body.size(), 60000));
+          callers.back().Send(body.substr(1));
+          ++begun;
+        }
+        Await("all uploads to have been read", [&] { return read.load(); });
+        for (TextStream& caller : callers) {
+          SendLastByte(caller);
+          const std::string answer = caller.ReadMessage();
+          served += StatusOf(answer) == 200 ? 1 : 0;
+          refused += StatusOf(answer) == 503 ? 1 : 0;
+        }
+      });
+    }
+    Await("all uploads to be begun", [&] { return begun == kUploads; });
+    AwaitIdle(*entry.process);
+    read = true;
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    CHECK(served > 0);
+    CHECK(refused > 0);
+    CHECK(served + refused == static_cast<int>(kUploads));
+    CHECK_FALSE(entry.process->HasEnded());
+    CHECK(PeakMemory(*entry.process) < kMemoryMb);
+    // What was held is free again.
+    TextStream caller = entry.Connect();
+    caller.Send(HostEntry::Head("after", body.size()) + body);
+    CHECK(StatusOf(caller.ReadMessage()) == 200);
   }
-  std::vector<TextStream> idle;
-  for (int i = 0; i < 400; ++i) {
-    idle.push_back(entry.Connect());
-    idle.push_back(
-        entry.ConnectTo(i % 2 == 0 ? entry.lookups : entry.readiness));
+
+  // Guards FAULT and LOST: connections that nobody used took all descriptors,
+  // so that none were left for backend servers and for telling that it is
+  // ready.
+  TEST_CASE("Idle callers leave descriptors for those that are served") {
+    HostEntry entry(Echo);
+    entry.StartWithDescriptors(256);
+    entry.AwaitReady();
+    const auto is_served = [&](TextStream& caller, const std::string& id) {
+      caller.Send(HostEntry::Head(id, 2) + "hi");
+      return StatusOf(caller.ReadMessage()) == 200;
+    };
+    std::vector<TextStream> kept;
+    for (int i = 0; i < 42; ++i) {
+      kept.push_back(entry.Connect());
+      REQUIRE(is_served(kept.back(), "before-" + std::to_string(i)));
+    }
+    std::vector<TextStream> idle;
+    for (int i = 0; i < 400; ++i) {
+      idle.push_back(entry.Connect());
+      idle.push_back(
+          entry.ConnectTo(i % 2 == 0 ? entry.lookups : entry.readiness));
+    }
+    CHECK(entry.IsReady());
+    int served = 0;
+    for (std::size_t i = 0; i < kept.size(); ++i) {
+      served += is_served(kept[i], "after-" + std::to_string(i)) ? 1 : 0;
+    }
+    CHECK(served == 42);
+    TextStream another = entry.Connect();
+    CHECK(is_served(another, "another"));
   }
-  CHECK(entry.IsReady());
-  int served = 0;
-  for (std::size_t i = 0; i < kept.size(); ++i) {
-    served += is_served(kept[i], "after-" + std::to_string(i)) ? 1 : 0;
+
+  // Guards FAULT: requests to the listeners for lookups and readiness were held
+  // in memory up to 64 MB each, or without end.
+  TEST_CASE("Endless requests to the small listeners are cut off") {
+    constexpr std::size_t kMuch = 32 * 1024 * 1024;
+    HostEntry entry(Echo);
+    entry.Start();
+    entry.AwaitReady();
+    const std::string post = "POST /x HTTP/1.1\r\nHost: h\r\n";
+    const std::string piece(64 * 1024, '0');
+    for (const std::string& address : {entry.lookups, entry.readiness}) {
+      for (const std::string& beginning :
+           {post + "X-Long: ", post + "Content-Length: 60000000\r\n\r\n",
+            post + "Transfer-Encoding: chunked\r\n\r\n",
+            post + "Transfer-Encoding: chunked\r\n\r\n1;x=",
+            post + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: "}) {
+        INFO(beginning);
+        TextStream caller = entry.ConnectTo(address);
+        caller.Send(beginning);
+        std::size_t sent = 0;
+        while (sent < kMuch && caller.Send(piece)) {
+          sent += piece.size();
+        }
+        CHECK(sent < kMuch);
+      }
+    }
+    CHECK(entry.IsReady());
   }
-  CHECK(served == 42);
-  TextStream another = entry.Connect();
-  CHECK(is_served(another, "another"));
-}
 
-// Guards FAULT: requests to the listeners for lookups and readiness were held
-// in memory up to 64 MB each, or without end.
-TEST_CASE("Endless requests to the small listeners are cut off") {
-  constexpr std::size_t kMuch = 32 * 1024 * 1024;
-  HostEntry entry(Echo);
-  entry.Start();
-  entry.AwaitReady();
-  const std::string post = "POST /x HTTP/1.1\r\nHost: h\r\n";
-  const std::string piece(64 * 1024, '0');
-  for (const std::string& address : {entry.lookups, entry.readiness}) {
-    for (const std::string& beginning :
-         {post + "X-Long: ", post + "Content-Length: 60000000\r\n\r\n",
-          post + "Transfer-Encoding: chunked\r\n\r\n",
-          post + "Transfer-Encoding: chunked\r\n\r\n1;x=",
-          post + "Transfer-Encoding: chunked\r\n\r\n0\r\nX-Long: "}) {
-      INFO(beginning);
-      TextStream caller = entry.ConnectTo(address);
-      caller.Send(beginning);
-      std::size_t sent = 0;
-      while (sent < kMuch && caller.Send(piece)) {
-        sent += piece.size();
+  // Changes, adds or removes some bytes.
+  std::string Mutate(std::string bytes, SeededRandom & random) {
+    const std::uint64_t changes = 1 + random.Below(4);
+    for (std::uint64_t i = 0; i < changes && !bytes.empty(); ++i) {
+      const std::size_t at = random.Below(bytes.size());
+      switch (random.Below(4)) {
+        case 0:
+          bytes[at] = static_cast<char>(random.Below(256));
+          break;
+        case 1:
+          bytes[at] = static_cast<char>(bytes[at] ^ (1 << random.Below(8)));
+          break;
+        case 2:
+          bytes.resize(at);
+          break;
+        default:
+          bytes.insert(at, 1 + random.Below(8), '\xff');
       }
-      CHECK(sent < kMuch);
     }
+    return bytes;
+  }
+
+  // Messages of a peer that holds everything that a message can hold.
+  std::vector<std::string> PeerMessages() {
+    ShareHeader header{"e2", {}, {}};
+    header.known = {RowVersion(1), RowVersion(1), RowVersion(1)};
+    header.since = header.known;
+    header.silent = {"e3", "e4"};
+    header.quarantined.emplace_back();
+    header.quarantined.back().fingerprint = 7;
+    header.quarantined.back().count = 1;
+    OutcomeReports reports;
+    schema::BackendEvidenceT& evidence = reports.backends.emplace_back();
+    evidence.service = "kehto";
+    evidence.id = "i-1@1";
+    evidence.good = 1;
+    evidence.failures = 1;
+    evidence.in_flight = 1;
+    evidence.slots = 5;
+    evidence.rate_limit = 1000;
+    schema::RequestReportT& report = reports.requests.emplace_back();
+    report.fingerprint = 8;
+    report.backend = "i-1@1";
+    TableRows rows;
+    rows.version = RowVersion(1);
+    rows.rows.push_back({"i-3", "no JSON", RowVersion(1), false});
+    std::vector<std::string> messages{SerializeShare(header, reports)};
+    for (const FollowedTable table : schema::EnumValuesFollowedTable()) {
+      messages.push_back(SerializeRelayed(table, RowVersion(1), rows));
+    }
+    return messages;
+  }
+
+  // Guards FAULT: a message about a table that this version does not know ended
+  // the entry.
+  TEST_CASE("An entry outlives messages of peers that it cannot read") {
+    constexpr std::uint64_t kSeed = 1;
+    constexpr int kMessages = 20000;
+    HostEntry entry(Echo);
+    entry.Start();
+    entry.AwaitReady();
+    SeededRandom random(kSeed);
+    const std::vector<std::string> valid = PeerMessages();
+    TextStream frames = entry.ConnectTo(entry.peers);
+    const auto send_frame = [&frames](const std::string& bytes) {
+      const auto size = static_cast<std::uint32_t>(bytes.size());
+      return frames.Send(
+          std::string(reinterpret_cast<const char*>(&size), sizeof(size)) +
+          bytes);
+    };
+    send_frame("127.0.0.1:9");
+    schema::EntryMessageT unknown_table;
+    unknown_table.relayed = std::make_unique<schema::RelayedRowsT>();
+    unknown_table.relayed->table = static_cast<FollowedTable>(200);
+    CHECK(send_frame(PackTable<schema::EntryMessage>(unknown_table)));
+    for (int i = 0; i < kMessages && !entry.process->HasEnded(); ++i) {
+      send_frame(Mutate(valid[random.Below(valid.size())], random));
+    }
+    AwaitIdle(*entry.process);
+    TextStream caller = entry.Connect();
+    caller.Send(HostEntry::Head("after", 2) + "hi");
+    CHECK(StatusOf(caller.ReadMessage()) == 200);
+    CHECK_FALSE(entry.process->HasEnded());
+    CHECK(entry.IsReady());
+  }
+
+  // Guards LOST: whatever a backend server answers, the caller gets an answer,
+  // or the beginning of one that breaks off.
+  TEST_CASE("An entry answers whatever its backend servers send") {
+    constexpr std::uint64_t kSeed = 1;
+    constexpr int kRequests = 400;
+    SeededRandom random(kSeed);
+    std::mutex mutex;
+    HostEntry entry([&](TextStream& stream, const std::string& request) {
+      const std::string more =
+          "Retry-After: 0.01\r\nServer-Limit: 1000\r\nServer-Leaving: 0\r\n"
+          "X-Acaciaswitch-Server-Load: 1,0,500\r\nKeep-Alive: timeout=5\r\n";
+      std::string answer = HostEntry::Answer(request);
+      answer.insert(answer.find("\r\n") + 2, more);
+      const std::lock_guard lock(mutex);
+      stream.Send(Mutate(answer, random));
+      return random.Below(2) == 0;
+    });
+    entry.Start();
+    entry.AwaitReady();
+    int unanswered = 0;
+    for (int i = 0; i < kRequests && !entry.process->HasEnded(); ++i) {
+      // Distinct bodies, so that no request is quarantined.
+      const std::string id = "r" + std::to_string(i);
+      TextStream caller = entry.Connect();
+      caller.Send(HostEntry::Head(id, id.size(), 100) + id);
+      unanswered += StatusOf(caller.ReadMessage()) == 0 ? 1 : 0;
+    }
+    CHECK(unanswered == 0);
+    CHECK_FALSE(entry.process->HasEnded());
+    CHECK(entry.IsReady());
   }
-  CHECK(entry.IsReady());
-}
 
 }  // namespace
 }  // namespace acacia
