Link third-party libraries from archives to start sooner

A SIGHUP in the first milliseconds after exec still ended starts.

Cause: SIGHUP is ignored from .preinit_array on, which runs after the loader has mapped and relocated a dozen shared libraries; libcrypto alone has 21,000 relocations, of which the entry needs a hash and base64.

The system's C library stays shared.

--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -79,6 +79,22 @@
   });
 }
 
+// Guards FAULT: a SIGHUP while the loader mapped and relocated a dozen shared
+// libraries ended the process. Those that the system has archives of are linked
+// into the program.
+TEST_CASE("An entry loads few shared libraries before it runs") {
+  HostEntry entry(Echo);
+  entry.Start();
+  entry.AwaitReady();
+  const std::string maps =
+      ReadFile("/proc/" + std::to_string(entry.process->Pid()) + "/maps");
+  REQUIRE(maps.find("/libc.so") != std::string::npos);
+  for (const std::string library : {"crypto", "flatbuffers", "xxhash"}) {
+    INFO(library);
+    CHECK(maps.find("/lib" + library) == std::string::npos);
+  }
+}
+
 // Guards LOST: a second SIGTERM cut off the requests that the first lets end.
 TEST_CASE("A second SIGTERM in the grace time cuts off no request") {
   std::promise<void> arrived;
