Test that entries follow the store when all open connections to it have gone silent

A call on such a connection ends only when it is aborted. The test fails if the pending call is not aborted, if a listener gives up only the relay and not its own call, and if a reader that has read a table whole still counts as a reader for entries that lack the change.

--- /dev/null
+++ b/test/correctness/silent_connections_test.cc
@@ -0,0 +1,142 @@
+// Tests that entries follow the store although all connections that were open
+// to it have gone silent for good, while new ones work.
+#include <catch2/catch.hpp>
+
+#include "src/store_readers.h"
+#include "src/table_follower.h"
+#include "test/io_fixture.h"
+
+namespace acacia {
+namespace {
+
+namespace net = boost::asio;
+
+using ReadResult = tl::expected<TableRows, RowStoreError>;
+
+// A store client whose connection can go silent. A call on it then ends only
+// when aborted, which closes the connection.
+class SeverableStore : public RowStore {
+ public:
+  // `table`: what the store holds; must outlive this object.
+  SeverableStore(const net::any_io_executor& executor, const TableRows& table)
+      : wake(executor), table(table) {}
+
+  void Sever() { this->is_silent = true; }
+  bool IsInCall() const { return this->is_in_call; }
+
+  net::awaitable<ReadResult> ReadTable(std::string /*table*/) override {
+    return this->AnswerOnceNewerThan(RowVersion());
+  }
+  net::awaitable<ReadResult> AwaitChanges(std::string /*table*/,
+                                          RowVersion after,
+                                          Duration /*wait*/) override {
+    return this->AnswerOnceNewerThan(after);
+  }
+  void Abort() override {
+    this->is_silent = false;
+    this->is_aborted = this->is_in_call;
+    this->wake.cancel();
+  }
+  net::awaitable<tl::expected<RowVersion, RowStoreError>>
+  Put(std::string, std::string, std::string) override {
+    co_return tl::unexpected(RowStoreError::kUnavailable);
+  }
+  net::awaitable<tl::expected<RowVersion, RowStoreError>>
+  Remove(std::string, std::string, RowVersion) override {
+    co_return tl::unexpected(RowStoreError::kUnavailable);
+  }
+
+ private:
+  net::awaitable<ReadResult> AnswerOnceNewerThan(RowVersion after) {
+    this->is_in_call = true;
+    while (!this->is_aborted &&
+           (this->is_silent || this->table.version <= after)) {
+      this->wake.expires_at(net::steady_timer::time_point::max());
+      co_await this->wake.async_wait(net::as_tuple(net::use_awaitable));
+    }
+    this->is_in_call = false;
+    if (std::exchange(this->is_aborted, false)) {
+      co_return tl::unexpected(RowStoreError::kUnknown);
+    }
+    co_return this->table;
+  }
+
+  net::steady_timer wake;
+  const TableRows& table;
+  bool is_silent = false;
+  bool is_in_call = false;
+  bool is_aborted = false;
+};
+
+struct Entry {
+  Entry(net::io_context& context, const TableRows& table, RandomSource& random)
+      : context(context),
+        store(new SeverableStore(context.get_executor(), table)),
+        follower(
+            context.get_executor(),
+            "t",
+            std::unique_ptr<RowStore>(this->store),
+            {[](const TableRows&) {}, [](const TableRows&) {}, [](bool) {}},
+            random) {
+    this->follower.Start();
+  }
+
+  // Tells of a version, as the heartbeats of other entries do, until this one
+  // has it.
+  void AwaitVersion(RowVersion version) {
+    RunUntil(this->context, [this, version] {
+      this->follower.ExpectVersion(version);
+      return this->follower.Version() == version;
+    });
+  }
+
+  net::io_context& context;
+  // Owned by the follower.
+  SeverableStore* store;
+  TableFollower follower;
+};
+
+// Guards CONFIG and DRAIN: a call on a silent connection must be given up when
+// others know of a change, at readers and listeners.
+TEST_CASE(
+    "a change reaches readers and listeners whose connections are silent") {
+  net::io_context context;
+  SeededRandom random(1);
+  TableRows table{{{"a", "", RowVersion(7)}}, RowVersion(7)};
+  Entry reader(context, table, random);
+  Entry listener(context, table, random);
+  RunUntil(context,
+           [&] { return listener.follower.Version() == RowVersion(7); });
+  listener.follower.SetReadByOthers(true);
+  RunUntil(context, [&] {
+    const bool awaits_relay = listener.follower.GapFreeSince() == RowVersion();
+    return awaits_relay && reader.store->IsInCall();
+  });
+
+  reader.store->Sever();
+  listener.store->Sever();
+  table = {{{"a", "", RowVersion(9)}}, RowVersion(9)};
+  reader.AwaitVersion(RowVersion(9));
+
+  // The reader relays nothing of what it has read whole, so it must not count
+  // as a reader for entries that lack it.
+  schema::MemberUpdateT member;
+  member.failure_domain = "a";
+  member.instance = "listener";
+  MemberDirectory directory(member);
+  member.instance = "a reader";
+  directory.Put(member);
+  const ManualClock clock;
+  StoreReaders readers{InstanceId("listener")};
+  TableVersions since;
+  since.fill(reader.follower.GapFreeSince());
+  readers.OnReadClaim(InstanceId("a reader"), since, clock.Now());
+  CHECK_FALSE(readers.HasReader(FollowedTable::Configuration,
+                                listener.follower.Version(), directory,
+                                clock.Now()));
+
+  listener.AwaitVersion(RowVersion(9));
+}
+
+}  // namespace
+}  // namespace acacia
