Add a seeded soak of acacia-entry processes on the host platform

Several processes between a scripted store, backend servers behind fault proxies and callers that keep their connections. Signals, ends, restarts, configurations, leaving backend servers, outages of the store and silenced connections come in series that overlap.

--- /dev/null
+++ b/test/integration/process_soak_test.cc
@@ -0,0 +1,532 @@
+// A seeded soak of acacia-entry processes on the host platform: signals, ends,
+// restarts, configurations, leaving backend servers and outages of the store
+// overlap, while callers go on using their connections.
+//
+// ACACIA_SOAK_SEED, ACACIA_SOAK_SECONDS and ACACIA_SOAK_ENTRIES choose another
+// run, ACACIA_SOAK_PROGRAM another acacia-entry to judge.
+#include <array>
+#include <iostream>
+#include <list>
+#include <sstream>
+
+#include "test/soak_world.h"
+
+namespace acacia {
+namespace {
+
+using Kind = SoakEvent::Kind;
+
+std::string Variable(const char* name, const std::string& otherwise) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? otherwise : value;
+}
+
+int Number(const char* name, int otherwise) {
+  return std::stoi(Variable(name, std::to_string(otherwise)));
+}
+
+constexpr std::array<const char*, 14> kEventNames{
+    "start",   "SIGTERM",      "SIGTERM again", "SIGHUP",
+    "SIGSTOP", "SIGCONT",      "SIGKILL",       "SIGKILL after the grace time",
+    "end",     "store away",   "store back",    "connections silenced",
+    "leaving", "configuration"};
+
+class Soak {
+ public:
+  Soak(int seed, int seconds, int entries)
+      : seed(seed),
+        length(std::chrono::seconds(seconds)),
+        random(static_cast<std::uint32_t>(seed)) {
+    std::string pattern =
+        std::filesystem::temp_directory_path() / "process-soak-XXXXXX";
+    this->folder = mkdtemp(pattern.data());
+    this->network = "127." + std::to_string(1 + getpid() / 250 % 250) + "." +
+                    std::to_string(1 + getpid() % 250) + ".";
+    this->StartBackends();
+    this->PutConfiguration();
+    for (int i = 0; i < entries; ++i) {
+      Entry& entry = this->entries.emplace_back();
+      entry.index = i;
+      entry.host = this->network + std::to_string(i + 1);
+      entry.settings = this->folder + "/e" + std::to_string(i) + ".json";
+      this->WriteSettings(entry);
+      this->Start(entry);
+    }
+  }
+  ~Soak() {
+    this->stopper.Stop();
+    this->callers.clear();
+    this->entries.clear();
+    this->faults_io.stop();
+    this->faults_thread.join();
+  }
+  Soak(const Soak&) = delete;
+  Soak& operator=(const Soak&) = delete;
+
+  std::vector<std::string> Run() {
+    for (Entry& entry : this->entries) {
+      Await("the entries to be ready", [&] {
+        return SendHttpRequest(entry.host + ":8140", "GET",
+                               "/acaciaswitch/ready")
+                   .status == 200;
+      });
+      for (int i = 0; i < kCallersPerEntry; ++i) {
+        this->callers.emplace_back(entry.index, entry.host, kCallerPort,
+                                   "s" + std::to_string(this->seed) + "-e" +
+                                       std::to_string(entry.index) + "-c" +
+                                       std::to_string(i),
+                                   this->ledger, this->stopper);
+      }
+    }
+    this->Plan();
+    this->Play(this->ledger.Now() + this->length);
+    this->stopper.Stop();
+    this->callers.clear();
+    for (Entry& entry : this->entries) {
+      this->Stop(entry);
+    }
+    const SoakTime last = this->ledger.Now() + SoakCheck::kGrace;
+    this->restarting = false;
+    this->Play(last + std::chrono::milliseconds(500));
+    const SoakHistory history = this->ledger.History();
+    auto violations = SoakCheck(history).Violations();
+    this->Summarize(history, violations);
+    return violations;
+  }
+
+ private:
+  static constexpr std::uint16_t kCallerPort = 8144;
+  static constexpr int kCallersPerEntry = 6;
+  static constexpr int kBackends = 8;
+
+  struct Entry {
+    int index = 0;
+    std::string host;
+    std::string settings;
+    std::unique_ptr<Process> process;
+    SoakTime started{};
+    bool stopping = false;
+  };
+
+  int Draw(int below) { return static_cast<int>(this->random() % below); }
+  SoakTime DrawTime(int from, int to) {
+    return SoakTime(from + this->Draw(to - from));
+  }
+  void After(SoakTime delay, std::function<void()> action) {
+    this->plan.emplace(this->ledger.Now() + delay, std::move(action));
+  }
+  void Note(Kind kind,
+            int entry = -1,
+            const std::string& instance = "",
+            int status = 0) {
+    SoakEvent event;
+    event.kind = kind;
+    event.entry = entry;
+    event.instance = instance;
+    event.status = status;
+    this->ledger.Add(event);
+  }
+
+  void StartBackends() {
+    for (int i = 0; i < kBackends; ++i) {
+      SoakBackend& backend = this->backends.emplace_back(
+          "i-" + std::to_string(i) + "-0", this->ledger, this->stopper);
+      const std::string host = this->network + "2" + std::to_string(i + 10);
+      schema::FaultProxySettingsT settings;
+      settings.listen = host + ":7000";
+      settings.target = backend.Address();
+      settings.operator_listen = host + ":7001";
+      this->proxies.emplace_back(this->faults_io.get_executor(), settings);
+      REQUIRE(this->proxies.back().Listen());
+      this->Register(i, "ready");
+    }
+    this->faults_thread = std::thread([this] { this->faults_io.run(); });
+  }
+
+  std::string ProxyHost(int backend) const {
+    return this->network + "2" + std::to_string(backend + 10);
+  }
+
+  void Register(int index, const std::string& state) {
+    this->store.Put(
+        "servers", this->backends[index].Instance(),
+        R"({"service":")" + std::string(index % 2 == 0 ? "kehto" : "uniikki") +
+            R"(","address":")" + this->ProxyHost(index) + R"(:7000","zone":")" +
+            (index % 4 < 2 ? "a" : "b") +
+            R"(","version":"1","slots":40,"state":")" + state +
+            R"(","coldLeftS":0,"seq":)" + std::to_string(++this->sequence) +
+            R"(,"born":)" + std::to_string(this->born[index]) + "}");
+  }
+
+  // Every other version moves the routes to the other service.
+  void PutConfiguration() {
+    const int version = ++this->configuration;
+    const auto route = [version](const std::string& name, bool first,
+                                 const std::string& kind) {
+      return R"(,{"resourceKind":"routes","metadata":{"name":")" + name +
+             R"("},"spec":{"host":"h","prefix":"/)" + name +
+             R"(/","service":")" + (first ? "kehto" : "uniikki") +
+             R"(","kind":")" + kind + R"(","maxAttempts":3,"timeoutS":)" +
+             std::to_string(20 + version % 3) + "}}";
+    };
+    const auto service = [version](const std::string& name) {
+      return R"({"resourceKind":"services","metadata":{"name":")" + name +
+             R"("},"spec":{"healthPath":"/health","maxConns":)" +
+             std::to_string(300 + version) + "}}";
+    };
+    this->store.Put(
+        "op", "config",
+        R"({"version":"r)" + std::to_string(version * 3) +
+            R"(","resources":[)" + service("kehto") + "," + service("uniikki") +
+            route("work", version % 2 == 0, "unsafe") +
+            route("safe", version % 4 < 2, "safe") +
+            (version % 3 == 0 ? route("more", true, "safe") : "") + "]}");
+    this->Note(Kind::kConfiguration, -1, "r" + std::to_string(version * 3));
+  }
+
+  void WriteSettings(const Entry& entry) {
+    std::ofstream file(entry.settings + ".next");
+    file << R"({"instance": "e)" << entry.index << R"(", "failure_domain": ")"
+         << (entry.index % 2 == 0 ? "a" : "b") << R"(", "region": "r",)"
+         << R"("caller_listen": ")" << entry.host << ":" << kCallerPort
+         << R"(", "operator_listen": ")" << entry.host << R"(:9464",)"
+         << R"("worker_threads": 1, "answer_lifetime_ms": 1500,)"
+         << R"("replayable_body_bytes": 1048576,)"
+         << R"("buffered_answer_bytes": 262144,)"
+         << R"("host_platform": {"store_address": ")" << this->store.Address()
+         << R"(", "lookup_listen": ")" << entry.host
+         << R"(:8143", "ready_listen": ")" << entry.host
+         << R"(:8140", "peer_listen": ")" << entry.host
+         << R"(:7660", "grace_s": 6, "retry_budget_ratio": 0.2,)"
+         << R"("retry_budget_window_s": 10, "retry_budget_extra": )"
+         << 56 + this->Draw(5)
+         << R"(, "floor_share": 0.7, "lookup_lifetime_s": 2}})";
+    file.close();
+    std::filesystem::rename(entry.settings + ".next", entry.settings);
+  }
+
+  void Start(Entry& entry) {
+    const std::string program =
+        Variable("ACACIA_SOAK_PROGRAM", ACACIA_BINARY_DIR "/acacia-entry");
+    this->Note(Kind::kStart, entry.index);
+    entry.process = std::make_unique<Process>(
+        std::vector<std::string>{program, "--settings", entry.settings},
+        this->folder + "/e" + std::to_string(entry.index) + ".log");
+    entry.started = this->ledger.Now();
+    entry.stopping = false;
+  }
+
+  // The process has begun to build its server, or takes or ignores SIGHUP.
+  // Before, none of its instructions may have run.
+  static bool HasBegun(pid_t pid) {
+    const std::string folder = "/proc/" + std::to_string(pid);
+    std::error_code gone;
+    for (const auto& each :
+         std::filesystem::directory_iterator(folder + "/fd", gone)) {
+      if (std::filesystem::read_symlink(each.path(), gone) ==
+          "anon_inode:[eventpoll]") {
+        return true;
+      }
+    }
+    std::ifstream status(folder + "/status");
+    std::string word;
+    while (status >> word) {
+      if (word == "SigCgt:" || word == "SigIgn:") {
+        status >> word;
+        if ((std::stoull(word, nullptr, 16) & (1U << (SIGHUP - 1))) != 0) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
+  void ReloadAtStart(Entry& entry) {
+    const auto limit =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
+    while (!HasBegun(entry.process->Pid()) &&
+           std::chrono::steady_clock::now() < limit) {
+    }
+    this->Reload(entry, false);
+  }
+
+  // Whether the process has been running for long enough to be stopped.
+  bool IsSettled(const Entry& entry) const {
+    return entry.process && !entry.stopping &&
+           this->ledger.Now() - entry.started > std::chrono::seconds(2);
+  }
+
+  void Reload(Entry& entry, bool rewrite) {
+    if (entry.process) {
+      if (rewrite) {
+        this->WriteSettings(entry);
+      }
+      this->Note(Kind::kReload, entry.index);
+      entry.process->Signal(SIGHUP);
+    }
+  }
+
+  void Stop(Entry& entry) {
+    if (!entry.process) {
+      return;
+    }
+    this->Note(entry.stopping ? Kind::kStopAgain : Kind::kStop, entry.index);
+    entry.process->Signal(SIGTERM);
+    if (std::exchange(entry.stopping, true)) {
+      return;
+    }
+    const pid_t pid = entry.process->Pid();
+    this->After(SoakCheck::kGrace, [this, &entry, pid] {
+      if (entry.process && entry.process->Pid() == pid &&
+          !entry.process->HasEnded()) {
+        this->Note(Kind::kOverdueKill, entry.index);
+        entry.process->Signal(SIGKILL);
+      }
+    });
+  }
+
+  void PlanStop(Entry& entry) {
+    if (!this->IsSettled(entry)) {
+      return;
+    }
+    this->Stop(entry);
+    const pid_t pid = entry.process->Pid();
+    const auto later = [&](void (Soak::*act)(Entry&)) {
+      this->After(this->DrawTime(5, 5500), [this, &entry, pid, act] {
+        if (entry.process && entry.process->Pid() == pid) {
+          (this->*act)(entry);
+        }
+      });
+    };
+    for (int i = this->Draw(3); i > 0; --i) {
+      later(&Soak::Stop);
+    }
+    if (this->Draw(2) == 0) {
+      later(&Soak::ReloadWithNewSettings);
+    }
+  }
+
+  void ReloadWithNewSettings(Entry& entry) { this->Reload(entry, true); }
+
+  void Freeze(Entry& entry) {
+    if (!entry.process) {
+      return;
+    }
+    const pid_t pid = entry.process->Pid();
+    this->Note(Kind::kFreeze, entry.index);
+    entry.process->Signal(SIGSTOP);
+    this->After(this->DrawTime(100, 2500), [this, &entry, pid] {
+      if (entry.process && entry.process->Pid() == pid) {
+        this->Note(Kind::kThaw, entry.index);
+        entry.process->Signal(SIGCONT);
+      }
+    });
+  }
+
+  void Kill(Entry& entry) {
+    if (this->IsSettled(entry)) {
+      this->Note(Kind::kKill, entry.index);
+      entry.process->Signal(SIGKILL);
+    }
+  }
+
+  // Entries whose number divides by three are also frozen and killed; the
+  // others see planned work only.
+  void PlanEntry(Entry& entry) {
+    SoakTime at = this->DrawTime(2000, 4000);
+    while (at < this->length) {
+      const int choice = this->Draw(10);
+      const bool harmed = entry.index % 3 == 0;
+      if (harmed && choice < 2) {
+        this->After(at, [this, &entry] { this->Freeze(entry); });
+      } else if (harmed && choice < 4) {
+        this->After(at, [this, &entry] { this->Kill(entry); });
+      } else if (choice < 8) {
+        this->After(at, [this, &entry] { this->PlanStop(entry); });
+        at += std::chrono::seconds(4);
+      } else {
+        for (int i = 1 + this->Draw(3); i > 0; --i) {
+          this->After(at + this->DrawTime(0, 500),
+                      [this, &entry] { this->ReloadWithNewSettings(entry); });
+        }
+      }
+      at += this->DrawTime(500, 4000);
+    }
+  }
+
+  void Leave(int index) {
+    if (this->leaving.count(index) > 0 || this->leaving.size() >= 2 ||
+        this->store_away) {
+      return;
+    }
+    this->leaving.insert(index);
+    const std::string instance = this->backends[index].Instance();
+    const auto remove = [this, instance] {
+      this->store.Remove("servers", instance);
+    };
+    if (this->Draw(3) == 0) {
+      remove();
+    } else {
+      this->Register(index, "draining");
+      this->After(this->DrawTime(2100, 3500), remove);
+    }
+    this->Note(Kind::kLeaving, -1, instance);
+    this->After(this->DrawTime(4000, 6000), [this, index] {
+      const std::string number = std::to_string(++this->born[index]);
+      this->backends[index].SetInstance("i-" + std::to_string(index) + "-" +
+                                        number);
+      this->Register(index, "ready");
+      this->leaving.erase(index);
+    });
+  }
+
+  void TroubleStore() {
+    this->store_away = true;
+    this->Note(Kind::kStoreAway);
+    this->store.SetTrouble(static_cast<SoakStore::Trouble>(1 + this->Draw(4)));
+    this->After(this->DrawTime(500, 4000), [this] {
+      this->store.SetTrouble(SoakStore::Trouble::kNone);
+      this->store_away = false;
+      this->Note(Kind::kStoreBack);
+    });
+  }
+
+  void Silence() {
+    this->Note(Kind::kSilence);
+    for (int i = 0; i < kBackends; ++i) {
+      if (this->Draw(2) == 0) {
+        SetFaults(this->ProxyHost(i) + ":7001",
+                  R"({"silence_existing": true})");
+      }
+    }
+  }
+
+  void Plan() {
+    for (Entry& entry : this->entries) {
+      this->PlanEntry(entry);
+    }
+    const auto repeat = [&](int from, int to,
+                            const std::function<void()>& action) {
+      for (SoakTime at = this->DrawTime(from / 2, to); at < this->length;
+           at += this->DrawTime(from, to)) {
+        this->After(at, action);
+      }
+    };
+    repeat(1500, 5000, [this] {
+      if (!this->store_away) {
+        this->PutConfiguration();
+      }
+    });
+    repeat(1500, 4000, [this] { this->Leave(this->Draw(kBackends)); });
+    repeat(9000, 20000, [this] { this->TroubleStore(); });
+    repeat(20000, 40000, [this] { this->Silence(); });
+  }
+
+  void Play(SoakTime until) {
+    while (this->ledger.Now() < until) {
+      while (!this->plan.empty() &&
+             this->plan.begin()->first <= this->ledger.Now()) {
+        const auto action = std::move(this->plan.begin()->second);
+        this->plan.erase(this->plan.begin());
+        action();
+      }
+      bool running = false;
+      for (Entry& entry : this->entries) {
+        this->NoticeEnd(entry);
+        running = running || entry.process;
+      }
+      if (!running && !this->restarting) {
+        return;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(2));
+    }
+  }
+
+  void NoticeEnd(Entry& entry) {
+    if (!entry.process || !entry.process->HasEnded()) {
+      return;
+    }
+    const int status = entry.process->Wait();
+    this->Note(Kind::kEnd, entry.index, "", status);
+    entry.process.reset();
+    if (!this->restarting) {
+      return;
+    }
+    const bool reload = this->Draw(2) == 0;
+    this->After(this->DrawTime(0, 300), [this, &entry, reload] {
+      this->Start(entry);
+      if (reload) {
+        this->ReloadAtStart(entry);
+      }
+    });
+  }
+
+  void Summarize(const SoakHistory& history,
+                 const std::vector<std::string>& violations) {
+    std::map<std::string, int> counts;
+    for (const CallRecord& call : history.calls) {
+      ++counts[call.end == CallRecord::End::kAnswered
+                   ? std::to_string(call.status)
+                   : "unanswered"];
+    }
+    std::ostringstream text;
+    text << "soak seed " << this->seed << ":";
+    for (const SoakEvent& event : history.events) {
+      ++counts[kEventNames.at(static_cast<std::size_t>(event.kind))];
+    }
+    for (const auto& [name, count] : counts) {
+      text << " " << name << " " << count << ",";
+    }
+    text << " violations " << violations.size() << "\n";
+    if (!violations.empty()) {
+      text << "logs kept in " << this->folder << "\n";
+      for (const SoakEvent& event : history.events) {
+        text << event.at.count() << " ms "
+             << kEventNames.at(static_cast<std::size_t>(event.kind)) << " "
+             << (event.entry >= 0 ? "e" + std::to_string(event.entry) : "")
+             << event.instance
+             << (event.kind == Kind::kEnd
+                     ? " status " + std::to_string(event.status)
+                     : "")
+             << "\n";
+      }
+    } else {
+      std::filesystem::remove_all(this->folder);
+    }
+    std::cerr << text.str();
+  }
+
+  const int seed;
+  const SoakTime length;
+  std::minstd_rand random;
+  std::string folder;
+  std::string network;
+  SoakLedger ledger;
+  SoakStopper stopper;
+  SoakStore store;
+  std::deque<SoakBackend> backends;
+  std::map<int, int> born;
+  boost::asio::io_context faults_io;
+  std::list<FaultProxy> proxies;
+  std::thread faults_thread;
+  std::list<Entry> entries;
+  std::list<SoakCaller> callers;
+  std::multimap<SoakTime, std::function<void()>> plan;
+  std::set<int> leaving;
+  bool store_away = false;
+  bool restarting = true;
+  int sequence = 0;
+  int configuration = 0;
+};
+
+// Guards FAULT, LOST, TWICE, REFUSED, MIXED and DRAIN.
+TEST_CASE("Entries under overlapping planned work keep their promises") {
+  Soak soak(Number("ACACIA_SOAK_SEED", 1), Number("ACACIA_SOAK_SECONDS", 40),
+            Number("ACACIA_SOAK_ENTRIES", 5));
+  for (const std::string& violation : soak.Run()) {
+    FAIL_CHECK(violation);
+  }
+}
+
+}  // namespace
+}  // namespace acacia
