Refuse requests whose service is dropped while their body arrives

A request keeps the service that its head led to. A configuration without that service took it out of the table and thus out of all further updates, so the request was passed on by the registrations of that moment. A service that leaves the table now loses its backend servers: what waits or comes later is refused as not run, attempts in flight go on.

The test failed before (200 in place of 503, and the backend server had run the request).

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -486,6 +486,12 @@
   return this->state->TakeActions(now);
 }
 
+DispatchActions Dispatcher::OnServiceRemoved(TimePoint now) {
+  this->state->chooser->Apply(ServiceView(), now);
+  this->state->RefuseQueuedWithoutChoice(now);
+  return this->state->TakeActions(now);
+}
+
 DispatchActions Dispatcher::OnRequest(const Work& work, TimePoint now) {
   State& state = *this->state;
   if (!state.Admit(work, now)) {
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -188,6 +188,9 @@
   Dispatcher& operator=(const Dispatcher&) = delete;
 
   DispatchActions OnView(const ServiceView& view, TimePoint now);
+  // The configuration no longer has the service, and no further view comes.
+  // Nothing more is sent; attempts in flight go on.
+  DispatchActions OnServiceRemoved(TimePoint now);
 
   // Submits a request. It ends with RelayAnswer followed by OnAttemptEnd, with
   // RefuseRequest, or with OnCallerLeft.
--- a/src/service_table.cc
+++ b/src/service_table.cc
@@ -89,8 +89,18 @@
 
 void ServiceTable::Apply(const std::map<ServiceName, ServiceView>& views) {
   const std::lock_guard lock(this->mutex);
-  std::erase_if(this->services,
-                [&](const auto& each) { return !views.contains(each.first); });
+  std::erase_if(this->services, [&](const auto& each) {
+    const bool is_removed = !views.contains(each.first);
+    if (is_removed) {
+      // Requests that are still arriving keep the service.
+      each.second->HandleEvent(
+          [](Dispatcher& dispatcher, TimePoint now) {
+            return dispatcher.OnServiceRemoved(now);
+          },
+          nullptr);
+    }
+    return is_removed;
+  });
   for (const auto& each : views) {
     const ServiceName& name = each.first;
     const ServiceView& view = each.second;
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -665,6 +665,34 @@
   CHECK(StatusOf(f.RoundTrip(kGet)) == 200);
 }
 
+// Guards DRAIN: a request whose body arrived after its service had been dropped
+// from the configuration was passed on by the registrations of that moment.
+TEST_CASE(
+    "a request of a service that has been dropped is refused as not run") {
+  std::atomic<bool> has_run = false;
+  HostFixture f([&](TextStream& stream, const std::string& request) {
+    has_run = has_run || request.rfind("POST ", 0) == 0;
+    return stream.Send(
+        SignedAnswer(Field(request, "X-Acaciaswitch-Request-Id"), "body"));
+  });
+  TextStream caller = f.Connect();
+  const std::string post = kPost;
+  caller.Send(post.substr(0, post.size() - 1));
+  // Its head has been read when many later requests have been answered.
+  constexpr int kLater = 20;
+  for (int i = 0; i < kLater; ++i) {
+    REQUIRE(StatusOf(f.RoundTrip(kGet)) == 200);
+  }
+  auto without = std::make_shared<Configuration>();
+  without->generation = f.generation;
+  f.entry->ApplyConfiguration(without);
+  caller.Send(post.substr(post.size() - 1));
+  const std::string answer = caller.ReadMessage();
+  CHECK(StatusOf(answer) == 503);
+  CHECK_FALSE(Field(answer, "Retry-After").empty());
+  CHECK_FALSE(has_run);
+}
+
 constexpr char kUrgentPost[] =
     "POST /b/x HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: abc\r\n"
     "X-Acaciaswitch-Deadline-Ms: 900\r\nContent-Length: 2\r\n\r\nhi";
