Ignore signals without a meaning from before main on

Of 35 starts that got random signals within the first second, 8 ended by a signal other than SIGHUP: these were ignored in main only. All are now ignored where SIGHUP is, before the shared libraries are initialized. The same starts were not measured again.

--- a/src/process_setup.cc
+++ b/src/process_setup.cc
@@ -17,23 +17,23 @@
 // By default each of these ends the process: SIGPIPE when the reader of the log
 // has gone, SIGXFSZ when the log's file may not grow further, and the others
 // when a supervisor or log rotator sends them to all of its programs.
-constexpr std::array kIgnoredSignals{SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2};
+constexpr std::array kIgnoredSignals{SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2,
+                                     SIGHUP};
 
-void IgnoreReloadSignal() {
-  std::signal(SIGHUP, SIG_IGN);
+void IgnoreSignals() {
+  for (const int signal : kIgnoredSignals) {
+    std::signal(signal, SIG_IGN);
+  }
 }
 
 // Runs before the initialization of the shared libraries, which takes most of
 // the time from exec to main.
 [[gnu::section(".preinit_array"),
-  gnu::used]] void (*const kIgnoreReloadSignal)() = IgnoreReloadSignal;
+  gnu::used]] void (*const kIgnoreSignals)() = IgnoreSignals;
 
 }  // namespace
 
 void PrepareProcess() {
-  for (const int signal : kIgnoredSignals) {
-    std::signal(signal, SIG_IGN);
-  }
   for (const int stream : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
     if (::fcntl(stream, F_GETFD) < 0 && errno == EBADF) {
       // Gets the lowest free number, which is `stream`.
--- a/src/process_setup.h
+++ b/src/process_setup.h
@@ -7,13 +7,13 @@
 
 namespace acacia {
 
-// Ignores the signals that would end the process for reasons that concern only
-// its log, or none at all. Opens /dev/null in place of each closed
-// standard stream, so that no socket gets its number and with it the log. Must
-// be called before the process opens any file or starts a thread.
+// Opens /dev/null in place of each closed standard stream, so that no socket
+// gets its number and with it the log. Must be called before the process opens
+// any file or starts a thread.
 //
-// A program that calls this also ignores SIGHUP from before main on, until it
-// handles the signal itself.
+// A program that calls this also ignores, from before main on, the signals that
+// would end it for reasons that concern only its log, or none at all, and
+// SIGHUP until it handles that signal itself.
 void PrepareProcess();
 
 // Unblocks signals that the program handles: a process inherits the blocked
