--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -442,14 +442,15 @@
   co_await this->SleepUntil(std::min<TimePoint>(began + lifetime, window.end));
   this->context.phase = EntryPhase::kDraining;
   this->callers.StopAccepting();
-  for (int round = 0; this->IsStopPending() && this->clock.Now() < window.end;
-       ++round) {
-    if (round >= kDrainRoundsBeforeIdleClose) {
+  // Connections whose accepting has not ended yet are counted after a pause.
+  int round = 0;
+  do {
+    if (round++ >= kDrainRoundsBeforeIdleClose) {
       this->callers.CloseIdle();
     }
     co_await this->SleepUntil(std::min<TimePoint>(
         this->clock.Now() + kHousekeepingInterval, window.end));
-  }
+  } while (this->IsStopPending() && this->clock.Now() < window.end);
   if (this->context.connections.load() > 0) {
     this->callers.EndRequests();
   }
