Let the tests of distant entries use one address for both sides

Two tests drew a new address each time they named the distant entry, and waited without end for what was sent to the other one: a slip of the read-through that moved it into a function.

--- a/test/correctness/entry_peers_test.cc
+++ b/test/correctness/entry_peers_test.cc
@@ -184,9 +184,10 @@
 
 TEST_CASE("that a backend server is leaving is sent to all failure domains") {
   PeersFixture f;
-  Entry distant(f.context, DistantMember(), f.clock);
+  const schema::MemberUpdateT other = DistantMember();
+  Entry distant(f.context, other, f.clock);
   REQUIRE(distant.is_listening);
-  f.entries[0]->directory.Put(DistantMember());
+  f.entries[0]->directory.Put(other);
   schema::BackendEvidenceT leaving;
   leaving.id = "i-1";
   leaving.leaving = true;
@@ -197,9 +198,10 @@
 
 TEST_CASE("what concerns a rate limit is sent to all failure domains") {
   PeersFixture f;
-  Entry distant(f.context, DistantMember(), f.clock);
+  const schema::MemberUpdateT other = DistantMember();
+  Entry distant(f.context, other, f.clock);
   REQUIRE(distant.is_listening);
-  f.entries[0]->directory.Put(DistantMember());
+  f.entries[0]->directory.Put(other);
   schema::BackendEvidenceT unrelated;
   unrelated.id = "i-1";
   schema::BackendEvidenceT started;
