Leave more time between the end of a stop and SIGKILL

Its stop was due to end 400 ms before, and then waited 200 ms more for a report that only an agent gets. The stop now ends 600 ms before, within the last sixth of the grace time, and waits at its end only while answers are being written or an agent is there.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -179,7 +179,7 @@
       this->last_write = std::filesystem::file_time_type::min();
       return;
     }
-    acacia::LogEvent("stopped_before_serving");
+    acacia::LogEvent("stopped_before_serving").With("signal", signal);
     acacia::StandardLog().Flush();
     std::_Exit(0);
   }
@@ -196,8 +196,9 @@
   std::thread thread;
 };
 
-// The shutdown ends this long before the platform sends SIGKILL.
-constexpr std::chrono::milliseconds kKillMargin{400};
+// The shutdown ends this long before the platform sends SIGKILL: a machine that
+// is short of processor time runs timers late.
+constexpr std::chrono::milliseconds kKillMargin{600};
 
 // Without an adapter, returns the default policy of an entry with an agent.
 // With one, the entry has no agent, uses the host platform's dialect and ends
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -27,8 +27,10 @@
 // Once the entry drains, connections on which no request has begun are closed
 // after this many housekeeping intervals.
 constexpr int kDrainRoundsBeforeIdleClose = 4;
-// Wait for the final report to reach the agent before the process ends.
-constexpr std::chrono::milliseconds kFinalReportWait{200};
+// At most so long the process waits for its final report to reach the agent,
+// and for its final answers to be written.
+constexpr std::chrono::milliseconds kFinalWait{200};
+constexpr std::chrono::milliseconds kFinalPoll{20};
 // Between attempts to open the operators' address.
 constexpr std::chrono::seconds kOperatorListenInterval{1};
 constexpr std::uint32_t kFullPermille = 1000;
@@ -457,7 +459,11 @@
   this->stopped = true;
   LogEvent("stopped").With("instance", this->context.settings.instance);
   this->ReportSoon();
-  co_await this->Sleep(kFinalReportWait);
+  const TimePoint finish = this->clock.Now() + kFinalWait;
+  while (this->clock.Now() < finish &&
+         (this->link || this->context.connections.load() > 0)) {
+    co_await this->Sleep(kFinalPoll);
+  }
 }
 
 void EntryServer::State::Finish() {
@@ -529,7 +535,7 @@
   state.callers.StopAccepting();
   do {
     state.callers.CloseAll();
-    state.io.run_one_for(kFinalReportWait);
+    state.io.run_one_for(kFinalWait);
   } while (state.context.connections.load() > 0);
 }
 
