Let a stop not wait for the removal of the entry's row

Callers found entries gone for up to 4 s longer while the store was away: a stop waited for its row to be removed, and the restarted entry could only come after it. The removal is still tried again on new connections as long as the stop lasts.

--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -73,7 +73,6 @@
   net::awaitable<void> RunHousekeeping();
   void SpawnStop();
   net::awaitable<void> Stop();
-  bool IsStopPending() const;
   net::awaitable<void> EndAdmission();
   net::awaitable<void> Sleep(Duration duration);
   net::awaitable<void> SleepUntil(TimePoint time);
@@ -92,7 +91,6 @@
   std::optional<EntryLink> link;
   const EntryPolicy policy;
   std::function<void()> on_stop;
-  std::function<bool()> holds_stop;
 
   // Guards changes of configuration, fleet and snapshot. Lock order: taken
   // before the service table's lock.
@@ -404,11 +402,6 @@
   }
 }
 
-bool EntryServer::State::IsStopPending() const {
-  return this->context.connections.load() > 0 ||
-         (this->holds_stop && this->holds_stop());
-}
-
 void EntryServer::State::SpawnStop() {
   if (this->stop_begun.exchange(true)) {
     return;
@@ -452,7 +445,8 @@
     }
     co_await this->SleepUntil(std::min<TimePoint>(
         this->clock.Now() + kHousekeepingInterval, window.end));
-  } while (this->IsStopPending() && this->clock.Now() < window.end);
+  } while (this->context.connections.load() > 0 &&
+           this->clock.Now() < window.end);
   if (this->context.connections.load() > 0) {
     this->callers.EndRequests();
   }
@@ -516,10 +510,6 @@
   this->state->on_stop = std::move(hook);
 }
 
-void EntryServer::HoldStopWhile(std::function<bool()> holds) {
-  this->state->holds_stop = std::move(holds);
-}
-
 EntryServer::~EntryServer() {
   State& state = *this->state;
   state.io.stop();
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -71,9 +71,6 @@
   // Sets a hook that is called once, on any thread, when the graceful shutdown
   // begins. Must be set before Start.
   void OnStop(std::function<void()> hook);
-  // The graceful shutdown goes on while `holds`, at most until its time limit.
-  // `holds` may be called on any thread. Must be set before Start.
-  void HoldStopWhile(std::function<bool()> holds);
 
   // Opens the listener for callers. The error names the address that could not
   // be opened.
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <atomic>
 #include <boost/asio.hpp>
 #include <utility>
 
@@ -116,7 +115,6 @@
   // to be written.
   RowVersion own_row;
   bool is_registering = false;
-  std::atomic<bool> is_unregistering{false};
   std::array<std::unique_ptr<TableFollower>, std::tuple_size_v<TableVersions>>
       followers;
   EntryPeers peers;
@@ -598,7 +596,6 @@
     }
   }
   LogEvent("unregistered").With("instance", this->self.instance);
-  this->is_unregistering = false;
 }
 
 net::awaitable<bool> HostControl::State::FindOwnRowVersion() {
@@ -643,17 +640,11 @@
                          const Clock& clock)
     : state(
           std::make_shared<State>(settings, std::move(adapter), entry, clock)) {
-  const std::weak_ptr<State> weak = this->state;
-  entry.OnStop([weak] {
+  entry.OnStop([weak = std::weak_ptr<State>(this->state)] {
     if (const auto self = weak.lock()) {
-      self->is_unregistering = true;
       net::post(self->strand, [self] { self->OnStop(); });
     }
   });
-  entry.HoldStopWhile([weak] {
-    const auto self = weak.lock();
-    return self && self->is_unregistering;
-  });
 }
 
 HostControl::~HostControl() = default;
