Read all settings files by one function again

The wait for a settings file that is being written had each reader of settings pass in the file's text, so that one of them could get it another way. The readers name the file only, as before, and the wait is an argument of the one that has it. No change of behaviour.

--- a/src/settings.cc
+++ b/src/settings.cc
@@ -132,13 +132,13 @@
       .Positive("host_platform.lookup_lifetime_s", settings.lookup_lifetime_s);
 }
 
-// Reads the file again, after pauses by `sleep`, while it ends too early.
+// Given `sleep`, reads the file again, after pauses, while it ends too early.
 tl::expected<std::string, UserErrors> ReadFinishedFile(
     const std::string& file,
     const std::function<void(Duration)>& sleep) {
   auto text = ReadTextFile(file);
-  for (int pause = 0;
-       text && pause < kMaxFilePauses && JsonLines(file, *text).IsIncomplete();
+  for (int pause = 0; sleep && text && pause < kMaxFilePauses &&
+                      JsonLines(file, *text).IsIncomplete();
        ++pause) {
     if (pause == 0) {
       LogEvent("settings_incomplete", LogSeverity::kWarning).With("file", file);
@@ -149,13 +149,14 @@
   return text;
 }
 
-// Reads a table from the text of the file and passes it to `check`. Returns the
-// mistakes of both steps together.
+// Reads a table from the file and passes it to `check`. Returns the mistakes of
+// both steps together.
 template <typename Table, typename Check>
 tl::expected<typename Table::NativeTableType, UserErrors> ReadChecked(
     const std::string& file,
-    const tl::expected<std::string, UserErrors>& text,
-    Check check) {
+    Check check,
+    const std::function<void(Duration)>& sleep = {}) {
+  const auto text = ReadFinishedFile(file, sleep);
   if (!text) {
     return tl::unexpected(text.error());
   }
@@ -186,7 +187,7 @@
     const std::string& file,
     const std::function<void(Duration)>& sleep) {
   return ReadChecked<schema::EntrySettings>(
-      file, sleep ? ReadFinishedFile(file, sleep) : ReadTextFile(file),
+      file,
       [](const schema::EntrySettingsT& settings, SettingsChecker* check) {
         check->Name("instance", settings.instance)
             .Name("failure_domain", settings.failure_domain)
@@ -208,7 +209,8 @@
         if (settings.host_platform) {
           CheckHostPlatform(*settings.host_platform, check);
         }
-      });
+      },
+      sleep);
 }
 
 tl::expected<void, UserErrors> ApplyEnvironment(
@@ -243,8 +245,7 @@
 tl::expected<schema::AgentSettingsT, UserErrors> ReadAgentSettings(
     const std::string& file) {
   return ReadChecked<schema::AgentSettings>(
-      file, ReadTextFile(file),
-      [](const schema::AgentSettingsT& settings, SettingsChecker* check) {
+      file, [](const schema::AgentSettingsT& settings, SettingsChecker* check) {
         check->Name("instance", settings.instance)
             .Name("failure_domain", settings.failure_domain)
             .Address("peer_listen", settings.peer_listen)
@@ -262,9 +263,8 @@
 tl::expected<schema::PlatformStandinSettingsT, UserErrors>
 ReadPlatformStandinSettings(const std::string& file) {
   return ReadChecked<schema::PlatformStandinSettings>(
-      file, ReadTextFile(file),
-      [](const schema::PlatformStandinSettingsT& settings,
-         SettingsChecker* check) {
+      file, [](const schema::PlatformStandinSettingsT& settings,
+               SettingsChecker* check) {
         check->Address("listen", settings.listen);
       });
 }
@@ -272,9 +272,8 @@
 tl::expected<schema::BackendStandinSettingsT, UserErrors>
 ReadBackendStandinSettings(const std::string& file) {
   return ReadChecked<schema::BackendStandinSettings>(
-      file, ReadTextFile(file),
-      [](const schema::BackendStandinSettingsT& settings,
-         SettingsChecker* check) {
+      file, [](const schema::BackendStandinSettingsT& settings,
+               SettingsChecker* check) {
         check->Address("listen", settings.listen);
       });
 }
@@ -282,7 +281,7 @@
 tl::expected<schema::FaultProxySettingsT, UserErrors> ReadFaultProxySettings(
     const std::string& file) {
   return ReadChecked<schema::FaultProxySettings>(
-      file, ReadTextFile(file),
+      file,
       [](const schema::FaultProxySettingsT& settings, SettingsChecker* check) {
         check->Address("listen", settings.listen)
             .Address("target", settings.target)
@@ -293,8 +292,7 @@
 tl::expected<schema::LoadSettingsT, UserErrors> ReadLoadSettings(
     const std::string& file) {
   return ReadChecked<schema::LoadSettings>(
-      file, ReadTextFile(file),
-      [](const schema::LoadSettingsT& settings, SettingsChecker* check) {
+      file, [](const schema::LoadSettingsT& settings, SettingsChecker* check) {
         check->Addresses("entries", settings.entries)
             .Addresses("ledgers", settings.ledgers);
       });
