Flatten the removal of the entry's row

The loop kept a flag for three ends and paused once more after the row was found to be gone. It now ends where it knows. Otherwise as before.

--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -578,22 +578,24 @@
     pause.expires_after(kRegistrationPoll);
     co_await pause.async_wait(kAwait);
   }
-  bool done = false;
-  while (!done) {
+  for (;;) {
     // The connection of the call before may have been closed or gone silent.
     this->own_rows = this->adapter.make_store();
     const auto removed = co_await this->own_rows->Remove(
         this->adapter.members_table, this->self.instance, this->own_row);
-    done = removed.has_value();
-    if (!done) {
-      LogEvent("unregistration_failed", LogSeverity::kWarning)
-          .With("reason", RowStoreErrorName(removed.error()));
-      if (removed.error() == RowStoreError::kConflict) {
-        done = !co_await this->FindOwnRowVersion();
+    if (removed) {
+      break;
+    }
+    LogEvent("unregistration_failed", LogSeverity::kWarning)
+        .With("reason", RowStoreErrorName(removed.error()));
+    if (removed.error() == RowStoreError::kConflict) {
+      const bool is_there = co_await this->FindOwnRowVersion();
+      if (!is_there) {
+        break;
       }
-      pause.expires_after(kRemovalRetryPause);
-      co_await pause.async_wait(kAwait);
     }
+    pause.expires_after(kRemovalRetryPause);
+    co_await pause.async_wait(kAwait);
   }
   LogEvent("unregistered").With("instance", this->self.instance);
 }
