Let the start of an entry need its listener, not open it by chance

EntryServer::Start listened unless Listen had been called, which took a flag, a result that could not fail after Listen, and an assertion in main. Start now comes after Listen always. The address for operators is no longer tried twice in a row when it is not available: the retries begin after a pause.

--- a/src/acacia_entry_main.cc
+++ b/src/acacia_entry_main.cc
@@ -16,7 +16,6 @@
 #include <thread>
 
 #include "platform/host_adapter.h"
-#include "src/check.h"
 #include "src/clock.h"
 #include "src/entry_server.h"
 #include "src/fleet_pool.h"
@@ -267,7 +266,7 @@
   }
   signals.Serve(server, adapter.has_value(),
                 [&] { Reload(file, control ? &*control : nullptr); });
-  ACACIA_CHECK(server.Start());
+  server.Start();
   server.Wait();
   if (control) {
     // Connections that are still open at the end of the grace time would delay
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -101,7 +101,6 @@
   std::unique_ptr<schema::FleetUpdateT> fleet;
   TimePoint fleet_received;
 
-  bool listening = false;
   std::atomic<bool> stop_begun{false};
   std::atomic<bool> stopped{false};
   std::mutex finished_mutex;
@@ -385,10 +384,10 @@
 // Serving callers does not need the operators' address, so the entry does not
 // wait for it or end without it.
 net::awaitable<void> EntryServer::State::ListenForOperators() {
-  while (!this->operators.Listen(this->context.settings.operator_listen,
-                                 Availability::kRequired)) {
+  do {
     co_await this->Sleep(kOperatorListenInterval);
-  }
+  } while (!this->operators.Listen(this->context.settings.operator_listen,
+                                   Availability::kRequired));
   LogEvent("operators_served")
       .With("address", this->context.settings.operator_listen);
 }
@@ -530,21 +529,13 @@
 }
 
 tl::expected<void, std::string> EntryServer::Listen() {
-  State& state = *this->state;
-  const auto listening =
-      state.callers.Listen(state.context.settings.caller_listen);
-  state.listening = listening.has_value();
-  return listening;
+  return this->state->callers.Listen(
+      this->state->context.settings.caller_listen);
 }
 
-tl::expected<void, std::string> EntryServer::Start() {
+void EntryServer::Start() {
   State& state = *this->state;
   const schema::EntrySettingsT& settings = state.context.settings;
-  if (!state.listening) {
-    if (auto listening = this->Listen(); !listening) {
-      return listening;
-    }
-  }
   const auto operators =
       state.operators.Listen(settings.operator_listen, Availability::kRequired);
   if (!operators) {
@@ -571,7 +562,6 @@
       .With("callers", settings.caller_listen)
       .With("operators", settings.operator_listen)
       .With("threads", count);
-  return {};
 }
 
 std::uint16_t EntryServer::CallerPort() const {
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -75,9 +75,9 @@
   // Opens the listener for callers. The error names the address that could not
   // be opened.
   tl::expected<void, std::string> Listen();
-  // Starts the worker threads, after Listen unless that has been called. The
-  // listener for operators opens when its address is available.
-  tl::expected<void, std::string> Start();
+  // Starts the worker threads, after Listen. The listener for operators opens
+  // when its address is available.
+  void Start();
 
   std::uint16_t CallerPort() const;
   std::uint16_t OperatorPort() const;
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -50,7 +50,8 @@
     this->settings.agent_address.clear();
     this->entry = std::make_unique<EntryServer>(this->settings, this->clock,
                                                 std::move(policy));
-    REQUIRE(this->entry->Start());
+    REQUIRE(this->entry->Listen());
+    this->entry->Start();
     this->Apply();
   }
 
--- a/test/integration/host_control_test.cc
+++ b/test/integration/host_control_test.cc
@@ -74,7 +74,8 @@
   const TalkativePeer peer(settings.host_platform->peer_listen);
   // Threads that already run, as in an order of the starts that this one does
   // not ask for.
-  REQUIRE(server.Start());
+  REQUIRE(server.Listen());
+  server.Start();
   REQUIRE(control.Start());
   Await("the entry to answer", [&] {
     return SendHttpRequest(settings.host_platform->ready_listen, "GET",
--- a/test/proxy_fixture.h
+++ b/test/proxy_fixture.h
@@ -330,7 +330,8 @@
   void StartEntry() {
     this->settings.agent_address = this->agent.Address();
     this->entry = std::make_unique<EntryServer>(this->settings, this->clock);
-    REQUIRE(this->entry->Start());
+    REQUIRE(this->entry->Listen());
+    this->entry->Start();
   }
 
   TextStream Connect() {
