Let all tests of real processes share one stand-in of the host's store

The soak had brought a second one, with rows that change, transactions and troubles, beside the one of HostEntry, which held rows that never change. HostEntry now uses the fuller one, in a file of its own.

--- a/test/host_entry.h
+++ b/test/host_entry.h
@@ -3,102 +3,20 @@
 #ifndef TEST_HOST_ENTRY_H_
 #define TEST_HOST_ENTRY_H_
 
-#include <atomic>
-#include <chrono>
-#include <condition_variable>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "src/base64.h"
+#include "test/host_store.h"
 #include "test/process_fleet.h"
 #include "test/proxy_fixture.h"
 
 namespace acacia {
 
-// The platform's store with rows that never change.
-class HostStore {
- public:
-  using Rows = std::vector<std::pair<std::string, std::string>>;
-
-  HostStore(std::string configuration, const Rows& registrations)
-      : configuration(std::move(configuration)),
-        registrations(registrations),
-        listener([this](TextStream& stream) { this->Serve(stream); }) {}
-  ~HostStore() {
-    const std::lock_guard lock(this->mutex);
-    this->stopping = true;
-    this->stopped.notify_all();
-  }
-  HostStore(const HostStore&) = delete;
-  HostStore& operator=(const HostStore&) = delete;
-
-  std::string Address() const { return this->listener.Address(); }
-  // From now on a connection on which a row was written gets no more answers.
-  void SilenceWriters() { this->silences_writers = true; }
-  bool HasRemovedRow() const { return this->has_removed_row; }
-
- private:
-  static std::string RowsAsJson(const std::string& table, const Rows& rows) {
-    std::string list;
-    for (const auto& [key, value] : rows) {
-      list += std::string(list.empty() ? "" : ",") + R"({"table":")" + table +
-              R"(","part":"","key":")" + key + R"(","ver":1,"value":")" +
-              EncodeBase64(value) + R"("})";
-    }
-    return R"({"ver":1,"nowS":1,"hasMore":false,"rows":[)" + list + "]}";
-  }
-
-  std::string Answer(const std::string& request) {
-    if (request.find("rows-feed") != std::string::npos) {
-      std::unique_lock lock(this->mutex);
-      this->stopped.wait_for(lock, std::chrono::seconds(7),
-                             [this] { return this->stopping; });
-      return RowsAsJson("", {});
-    }
-    if (request.find("table=op") != std::string::npos) {
-      return RowsAsJson("op", {{"config", this->configuration}});
-    }
-    if (request.find("table=servers") != std::string::npos) {
-      return RowsAsJson("servers", this->registrations);
-    }
-    return RowsAsJson("", {});
-  }
-
-  void Serve(TextStream& stream) {
-    bool is_writer = false;
-    for (std::string request = stream.ReadMessage(); !request.empty();
-         request = stream.ReadMessage()) {
-      const bool is_write = request.find("rows-tx") != std::string::npos;
-      if (is_write && !is_writer &&
-          request.find(R"("remove":[{)") != std::string::npos) {
-        this->has_removed_row = true;
-      }
-      if (is_writer && this->silences_writers) {
-        continue;
-      }
-      is_writer = is_writer || is_write;
-      if (!stream.Send(Ok(this->Answer(request)))) {
-        return;
-      }
-    }
-  }
-
-  const std::string configuration;
-  const Rows registrations;
-  std::mutex mutex;
-  std::condition_variable stopped;
-  bool stopping = false;
-  std::atomic<bool> silences_writers{false};
-  std::atomic<bool> has_removed_row{false};
-  ThreadedListener listener;
-};
-
 // One entry with a route /tasks/ of the given kind to a service of two names
 // for the same scripted backend server.
 class HostEntry {
@@ -106,9 +24,10 @@
   explicit HostEntry(BackendScript script,
                      const std::string& kind = "unsafe",
                      const std::string& more_settings = "")
-      : backend(ServeByScript(std::move(script))),
-        store(Configuration(kind),
-              {{"i-1", this->Registration()}, {"i-2", this->Registration()}}) {
+      : backend(ServeByScript(std::move(script))) {
+    this->store.Put("op", "config", Configuration(kind));
+    this->store.Put("servers", "i-1", this->Registration());
+    this->store.Put("servers", "i-2", this->Registration());
     std::string pattern =
         std::filesystem::temp_directory_path() / "host-entry-XXXXXX";
     this->folder = mkdtemp(pattern.data());
--- a/test/integration/process_soak_test.cc
+++ b/test/integration/process_soak_test.cc
@@ -399,9 +399,9 @@
   void TroubleStore() {
     this->store_away = true;
     this->Note(Kind::kStoreAway);
-    this->store.SetTrouble(static_cast<SoakStore::Trouble>(1 + this->Draw(4)));
+    this->store.SetTrouble(static_cast<HostStore::Trouble>(1 + this->Draw(4)));
     this->After(this->DrawTime(500, 4000), [this] {
-      this->store.SetTrouble(SoakStore::Trouble::kNone);
+      this->store.SetTrouble(HostStore::Trouble::kNone);
       this->store_away = false;
       this->Note(Kind::kStoreBack);
     });
@@ -520,7 +520,7 @@
   std::string network;
   SoakLedger ledger;
   SoakStopper stopper;
-  SoakStore store;
+  HostStore store;
   std::deque<SoakBackend> backends;
   std::map<int, int> born;
   boost::asio::io_context faults_io;
--- a/test/soak_world.h
+++ b/test/soak_world.h
@@ -1,6 +1,5 @@
-// What surrounds the entries in a soak of real processes: the platform's store,
-// backend servers behind fault proxies, and callers. All of them write down
-// what they see.
+// What surrounds the entries in a soak of real processes, beside the store:
+// backend servers and callers. Both write down what they see.
 #ifndef TEST_SOAK_WORLD_H_
 #define TEST_SOAK_WORLD_H_
 
@@ -9,12 +8,11 @@
 #include <sys/socket.h>
 #include <sys/time.h>
 
-#include <boost/json.hpp>
 #include <deque>
 #include <random>
 
-#include "src/base64.h"
 #include "standin/fault_proxy.h"
+#include "test/host_store.h"
 #include "test/process_fleet.h"
 #include "test/proxy_fixture.h"
 #include "test/soak_check.h"
@@ -75,173 +73,6 @@
   return body;
 }
 
-// The platform's store.
-class SoakStore {
- public:
-  enum class Trouble { kNone, kAway, kSlow, kGarbled, kSilent };
-
-  SoakStore() : listener([this](TextStream& stream) { this->Serve(stream); }) {}
-  ~SoakStore() {
-    const std::lock_guard lock(this->mutex);
-    this->stopping = true;
-    this->changed.notify_all();
-  }
-  SoakStore(const SoakStore&) = delete;
-  SoakStore& operator=(const SoakStore&) = delete;
-
-  std::string Address() const { return this->listener.Address(); }
-  void SetTrouble(Trouble kind) {
-    const std::lock_guard lock(this->mutex);
-    this->trouble = kind;
-    this->changed.notify_all();
-  }
-  void Put(const std::string& table,
-           const std::string& key,
-           const std::string& value) {
-    const std::lock_guard lock(this->mutex);
-    this->Write(table, key, EncodeBase64(value), false);
-  }
-  void Remove(const std::string& table, const std::string& key) {
-    const std::lock_guard lock(this->mutex);
-    this->Write(table, key, "", true);
-  }
-
- private:
-  struct Row {
-    std::string value;
-    std::int64_t version = 0;
-    bool removed = false;
-  };
-  using Table = std::map<std::string, Row>;
-
-  void Write(const std::string& table,
-             const std::string& key,
-             const std::string& value,
-             bool removed) {
-    this->tables[table][key] = {value, ++this->version, removed};
-    this->changed.notify_all();
-  }
-
-  static std::string Parameter(const std::string& request,
-                               const std::string& name) {
-    std::smatch match;
-    const std::regex pattern("[?&]" + name + "=([^& ]*)");
-    return std::regex_search(request, match, pattern) ? match[1].str() : "";
-  }
-
-  std::string Rows(const std::string& table, std::int64_t after, bool removed) {
-    boost::json::array rows;
-    for (const auto& [key, row] : this->tables[table]) {
-      if (row.version <= after || (row.removed && !removed)) {
-        continue;
-      }
-      boost::json::object item{{"table", table},
-                               {"part", ""},
-                               {"key", key},
-                               {"ver", row.version},
-                               {"value", row.value}};
-      if (row.removed) {
-        item["tombstone"] = true;
-      }
-      rows.push_back(std::move(item));
-    }
-    return boost::json::serialize(boost::json::object{{"ver", this->version},
-                                                      {"nowS", 1},
-                                                      {"hasMore", false},
-                                                      {"rows", rows}});
-  }
-
-  bool HasNews(const std::string& table, std::int64_t after) {
-    const Table& rows = this->tables[table];
-    return std::any_of(rows.begin(), rows.end(), [after](const auto& row) {
-      return row.second.version > after;
-    });
-  }
-
-  std::string Transact(const std::string& body) {
-    const boost::json::value call = boost::json::parse(body);
-    const auto text = [](const boost::json::value& row, const char* name) {
-      return std::string(row.at(name).as_string());
-    };
-    for (const auto& row : call.at("expectedRev").as_array()) {
-      const Row& held = this->tables[text(row, "table")][text(row, "key")];
-      if ((held.removed ? 0 : held.version) !=
-          row.at("ver").to_number<std::int64_t>()) {
-        return "HTTP/1.1 412 Conflict\r\nContent-Length: 2\r\n\r\n{}";
-      }
-    }
-    for (const auto& row : call.at("putRows").as_array()) {
-      this->Write(text(row, "table"), text(row, "key"), text(row, "value"),
-                  false);
-    }
-    for (const auto& row : call.at("remove").as_array()) {
-      this->Write(text(row, "table"), text(row, "key"), "", true);
-    }
-    return Ok(this->Rows("", 0, false));
-  }
-
-  std::string Answer(const std::string& request) {
-    std::unique_lock lock(this->mutex);
-    const std::string table = Parameter(request, "table");
-    if (request.find("/rows-tx") != std::string::npos) {
-      return this->Transact(BodyOf(request));
-    }
-    if (request.find("/rows-feed") == std::string::npos) {
-      return Ok(this->Rows(table, 0, false));
-    }
-    const std::int64_t after = std::stoll(Parameter(request, "after"));
-    const std::chrono::milliseconds wait(
-        std::stoll(Parameter(request, "waitMs")));
-    this->changed.wait_for(lock, wait, [&] {
-      return this->stopping || this->trouble == Trouble::kAway ||
-             this->HasNews(table, after);
-    });
-    return Ok(this->Rows(table, after, true));
-  }
-
-  // Returns false if the connection ends.
-  bool PlayTrouble(TextStream& stream) {
-    std::unique_lock lock(this->mutex);
-    switch (this->trouble) {
-      case Trouble::kNone:
-        return true;
-      case Trouble::kAway:
-        return false;
-      case Trouble::kSlow:
-        this->changed.wait_for(lock, std::chrono::milliseconds(1200),
-                               [this] { return this->stopping; });
-        return true;
-      case Trouble::kGarbled:
-        stream.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"ver\": -");
-        return false;
-      case Trouble::kSilent:
-        this->changed.wait(lock, [this] {
-          return this->stopping || this->trouble != Trouble::kSilent;
-        });
-        return false;
-    }
-    return false;
-  }
-
-  void Serve(TextStream& stream) {
-    for (std::string request = stream.ReadMessage(); !request.empty();
-         request = stream.ReadMessage()) {
-      if (!this->PlayTrouble(stream) || !stream.Send(this->Answer(request)) ||
-          !this->PlayTrouble(stream)) {
-        return;
-      }
-    }
-  }
-
-  std::mutex mutex;
-  std::condition_variable changed;
-  Trouble trouble = Trouble::kNone;
-  bool stopping = false;
-  std::int64_t version = 1;
-  std::map<std::string, Table> tables;
-  ThreadedListener listener;
-};
-
 // Waits that a soak's end cuts short.
 class SoakStopper {
  public:
