--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -568,10 +568,6 @@
   return this->state->callers.Port();
 }
 
-std::uint16_t EntryServer::OperatorPort() const {
-  return this->state->operators.Port();
-}
-
 void EntryServer::BeginStop() {
   this->state->SpawnStop();
 }
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -80,7 +80,6 @@
   void Start();
 
   std::uint16_t CallerPort() const;
-  std::uint16_t OperatorPort() const;
 
   // Starts the graceful shutdown: the entry leaves the lookup answers, waits
   // until all answers that name it have expired, stops accepting connections
