--- a/src/buffer_budget.cc
+++ b/src/buffer_budget.cc
@@ -1,5 +1,6 @@
 #include "src/buffer_budget.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acacia {
@@ -27,6 +28,21 @@
   return true;
 }
 
+bool BufferShare::Reserve(std::string& buffer,
+                          std::size_t bytes,
+                          std::size_t max_bytes) {
+  if (bytes <= buffer.capacity()) {
+    return true;
+  }
+  const std::size_t capacity =
+      std::max(bytes, std::min(2 * buffer.capacity(), max_bytes));
+  if (!this->GrowTo(capacity)) {
+    return false;
+  }
+  buffer.reserve(capacity);
+  return true;
+}
+
 void BufferShare::Release() {
   this->budget->Return(std::exchange(this->bytes, 0));
 }
--- a/src/buffer_budget.h
+++ b/src/buffer_budget.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <string>
 
 namespace acacia {
 
@@ -37,6 +38,10 @@
   // Makes the share at least `bytes` large. Returns false, and leaves it as it
   // is, if the budget does not suffice.
   bool GrowTo(std::size_t bytes);
+  // Makes room for `bytes` in `buffer`, whose capacity the share holds. Grows
+  // it by doubling, but not beyond `max_bytes` unless `bytes` is larger.
+  // Returns false, and changes nothing, if the budget does not suffice.
+  bool Reserve(std::string& buffer, std::size_t bytes, std::size_t max_bytes);
   void Release();
 
  private:
--- a/src/caller_server.cc
+++ b/src/caller_server.cc
@@ -21,7 +21,6 @@
 // TCP_USER_TIMEOUT: unacknowledged bytes to a caller end the connection after
 // this time.
 constexpr Duration kCallerUserTimeout = std::chrono::seconds(60);
-constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
 // Ended sessions are removed from the list whenever it has grown by this many.
 constexpr std::size_t kSessionsPerCleanup = 256;
 // At the limit, this part of the connections is closed if it is idle, and as
@@ -57,10 +56,7 @@
       co_return;
     }
     if (error) {
-      // For example, the process is out of file descriptors: wait until some
-      // have been closed.
-      net::steady_timer pause(this->acceptor.get_executor(), kAcceptRetryDelay);
-      co_await pause.async_wait(kAwait);
+      co_await AwaitAcceptRetry();
       continue;
     }
     this->StartSession(std::move(socket));
--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -172,47 +172,54 @@
 // a rate limit goes to all entries that count towards it: those of the backend
 // server's cell, or all entries while the failure domains are not divided into
 // cells.
-std::vector<InstanceId> EntryPeers::RecipientsOf(
-    const schema::BackendEvidenceT& evidence) const {
+const std::vector<InstanceId>& EntryPeers::RecipientsOf(
+    const schema::BackendEvidenceT& evidence,
+    const std::vector<InstanceId>& all) const {
+  static const std::vector<InstanceId> nobody;
   const bool is_about_rate_limit = evidence.started > 0 ||
                                    evidence.rate_limit >= 0 ||
                                    evidence.rate_limit_ended;
   if (!evidence.avoided && !evidence.leaving && !is_about_rate_limit) {
-    return {};
+    return nobody;
   }
   if (this->IsSmallFleet() ||
       (is_about_rate_limit && this->cells.IsUndivided())) {
-    return this->AllMembers();
+    return all;
   }
   return this->cells.EntriesInCellOfBackend(BackendId(evidence.id));
 }
 
 // In a large fleet one cell, the same for all senders, collects the reports
 // about a request. A quarantine that it begins spreads with the heartbeats.
-std::vector<InstanceId> EntryPeers::RecipientsOf(
-    const schema::RequestReportT& report) const {
+const std::vector<InstanceId>& EntryPeers::RecipientsOf(
+    const schema::RequestReportT& report,
+    const std::vector<InstanceId>& all) const {
   if (this->IsSmallFleet()) {
-    return this->AllMembers();
+    return all;
   }
   std::vector<RendezvousNode> nodes;
-  for (const auto& [instance, member] : this->directory.Members()) {
+  for (const InstanceId& instance : all) {
     nodes.push_back({instance.Value()});
   }
   const std::string key = std::to_string(report.fingerprint);
   const std::size_t first = RankByRendezvous(key, nodes, 1).front();
-  return this->cells.EntriesInCellOf(InstanceId(std::string(nodes[first].id)));
+  return this->cells.EntriesInCellOf(all[first]);
 }
 
 void EntryPeers::SendReportsBeyondCell(const ShareHeader& header,
                                        const OutcomeReports& reports) {
+  if (reports.IsEmpty()) {
+    return;
+  }
+  const std::vector<InstanceId> all = this->AllMembers();
   std::map<InstanceId, OutcomeReports> by_recipient;
   for (const schema::BackendEvidenceT& each : reports.backends) {
-    for (const InstanceId& instance : this->RecipientsOf(each)) {
+    for (const InstanceId& instance : this->RecipientsOf(each, all)) {
       by_recipient[instance].backends.push_back(each);
     }
   }
   for (const schema::RequestReportT& each : reports.requests) {
-    for (const InstanceId& instance : this->RecipientsOf(each)) {
+    for (const InstanceId& instance : this->RecipientsOf(each, all)) {
       by_recipient[instance].requests.push_back(each);
     }
   }
--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -90,10 +90,13 @@
                     const std::vector<InstanceId>& cell_peers);
   void SendReportsBeyondCell(const ShareHeader& header,
                              const OutcomeReports& reports);
-  std::vector<InstanceId> RecipientsOf(
-      const schema::BackendEvidenceT& evidence) const;
-  std::vector<InstanceId> RecipientsOf(
-      const schema::RequestReportT& report) const;
+  // Some of `all` members; the result lives as long as these and the cells.
+  const std::vector<InstanceId>& RecipientsOf(
+      const schema::BackendEvidenceT& evidence,
+      const std::vector<InstanceId>& all) const;
+  const std::vector<InstanceId>& RecipientsOf(
+      const schema::RequestReportT& report,
+      const std::vector<InstanceId>& all) const;
   std::vector<InstanceId> AllMembers() const;
   bool IsSmallFleet() const;
 
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -123,7 +123,7 @@
       operators(io.get_executor(),
                 settings.operator_token,
                 this->MakeOperatorHandlers(),
-                {context.connection_limits.per_listener}),
+                context.connection_limits.per_listener),
       policy(std::move(policy)),
       random(seed) {
   if (!settings.agent_address.empty()) {
@@ -463,6 +463,10 @@
   return this->state->TakeEvidence();
 }
 
+const ConnectionLimits& EntryServer::Limits() const {
+  return this->state->context.connection_limits;
+}
+
 RequestQuarantine& EntryServer::Quarantine() {
   return this->state->quarantine;
 }
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -14,6 +14,7 @@
 
 #include "src/clock.h"
 #include "src/configuration.h"
+#include "src/connection_limits.h"
 #include "src/dialect.h"
 #include "src/dispatcher.h"
 #include "src/generated/entry_link_generated.h"
@@ -63,6 +64,8 @@
   // Returns the evidence that this entry has gathered since the last call.
   // Thread-safe.
   std::vector<schema::BackendEvidenceT> TakeEvidence();
+  // How many connections the listeners of this process may keep open.
+  const ConnectionLimits& Limits() const;
   // The requests that are kept from backend servers because they crash them.
   RequestQuarantine& Quarantine();
   // Sets a hook that is called once, on any thread, when the graceful shutdown
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -5,7 +5,6 @@
 #include <boost/asio.hpp>
 #include <utility>
 
-#include "src/connection_limits.h"
 #include "src/entry_metrics.h"
 #include "src/entry_peers.h"
 #include "src/fleet_state.h"
@@ -46,12 +45,6 @@
 // members table has been read.
 constexpr std::uint32_t kAssumedFleetSize = 64;
 
-HttpServerLimits ListenerLimits(const schema::EntrySettingsT& settings) {
-  return {DivideDescriptors(settings.max_descriptors,
-                            settings.max_caller_connections)
-              .per_listener};
-}
-
 }  // namespace
 
 struct HostControl::State : std::enable_shared_from_this<State> {
@@ -166,14 +159,14 @@
                 [this](const TargetParts& target) {
                   return this->AnswerLookup(target);
                 }}},
-              ListenerLimits(settings)),
+              entry.Limits().per_listener),
       readiness(strand,
                 "",
                 {{this->adapter.ready_path,
                   [this](const TargetParts&) {
                     return ReadyReply(this->IsReady());
                   }}},
-                ListenerLimits(settings)) {}
+                entry.Limits().per_listener) {}
 
 bool HostControl::State::IsReady() const {
   return this->registry_read && this->generation > Generation() &&
--- a/src/http_server.cc
+++ b/src/http_server.cc
@@ -22,7 +22,6 @@
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr std::chrono::seconds kIdleTimeout{60};
-constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
 // Sorts after the sequence numbers of idle connections.
 constexpr auto kBusy = std::numeric_limits<std::uint64_t>::max();
 
@@ -87,10 +86,7 @@
       co_return;
     }
     if (error) {
-      // For example, the process is out of file descriptors: wait until some
-      // have been closed.
-      net::steady_timer pause(this->acceptor.get_executor(), kAcceptRetryDelay);
-      co_await pause.async_wait(kAwait);
+      co_await AwaitAcceptRetry();
       continue;
     }
     if (this->MakeRoom()) {
--- a/src/http_server.h
+++ b/src/http_server.h
@@ -18,10 +18,12 @@
 using HttpHandler =
     std::function<boost::asio::awaitable<HttpReply>(HttpRequest)>;
 
+inline constexpr std::uint32_t kDefaultMaxConnections = 1024;
+
 struct HttpServerLimits {
   // Open connections. A further one takes the place of the one that has been
   // idle for longest; if none is idle, it is closed.
-  std::uint32_t max_connections = 1024;
+  std::uint32_t max_connections = kDefaultMaxConnections;
   // Of one request; a longer one ends the connection.
   std::uint64_t max_body_bytes = 64 * 1024 * 1024;
 };
--- a/src/listener.cc
+++ b/src/listener.cc
@@ -1,5 +1,6 @@
 #include "src/listener.h"
 
+#include <boost/asio.hpp>
 #include <chrono>
 #include <thread>
 
@@ -14,6 +15,7 @@
 
 constexpr int kMaxOpenAttempts = 50;
 constexpr std::chrono::milliseconds kOpenRetryDelay{100};
+constexpr std::chrono::milliseconds kAcceptRetryDelay{10};
 
 }  // namespace
 
@@ -33,6 +35,12 @@
   return error;
 }
 
+boost::asio::awaitable<void> AwaitAcceptRetry() {
+  boost::asio::steady_timer pause(co_await boost::asio::this_coro::executor,
+                                  kAcceptRetryDelay);
+  co_await pause.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
 tl::expected<void, std::string> OpenListener(Tcp::acceptor& acceptor,
                                              const std::string& address) {
   const auto endpoint = ParseSocketAddress(address);
--- a/src/listener.h
+++ b/src/listener.h
@@ -2,6 +2,7 @@
 #ifndef SRC_LISTENER_H_
 #define SRC_LISTENER_H_
 
+#include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/system/error_code.hpp>
 #include <functional>
@@ -18,6 +19,10 @@
     const std::string& address,
     const std::function<boost::system::error_code()>& open);
 
+// Pauses an accept loop after an error. For example, the process may be out of
+// file descriptors until some have been closed.
+boost::asio::awaitable<void> AwaitAcceptRetry();
+
 // Binds `acceptor` to `address` ("ip:port"; port 0 selects a free port) and
 // listens. Waits for some seconds while the address is in use. The error names
 // the address and the reason.
--- a/src/operator_server.cc
+++ b/src/operator_server.cc
@@ -16,11 +16,6 @@
 // No request to an operator server needs a body.
 constexpr std::uint64_t kMaxBodyBytes = 16 * 1024;
 
-HttpServerLimits WithSmallBodies(HttpServerLimits limits) {
-  limits.max_body_bytes = kMaxBodyBytes;
-  return limits;
-}
-
 // Compares in constant time for texts of equal length, so that timing does not
 // reveal where they differ.
 bool EqualsInConstantTime(const std::string& given,
@@ -101,10 +96,10 @@
 struct OperatorServer::State {
   State(const net::any_io_executor& executor,
         HttpHandler handler,
-        const HttpServerLimits& limits)
+        std::uint32_t max_connections)
       : server(net::make_strand(executor),
                std::move(handler),
-               WithSmallBodies(limits)) {}
+               {max_connections, kMaxBodyBytes}) {}
 
   HttpServer server;
 };
@@ -112,7 +107,7 @@
 OperatorServer::OperatorServer(const net::any_io_executor& executor,
                                std::string token,
                                OperatorHandlers handlers,
-                               const HttpServerLimits& limits) {
+                               std::uint32_t max_connections) {
   // The handler shares ownership of the token and the paths, because
   // connections may outlive this object.
   auto shared_token = std::make_shared<const std::string>(std::move(token));
@@ -122,7 +117,8 @@
     return HandleRequestAsync(std::move(request), shared_token.get(),
                               shared_handlers.get());
   };
-  this->state = std::make_unique<State>(executor, std::move(handler), limits);
+  this->state =
+      std::make_unique<State>(executor, std::move(handler), max_connections);
 }
 
 OperatorServer::~OperatorServer() = default;
--- a/src/operator_server.h
+++ b/src/operator_server.h
@@ -38,12 +38,11 @@
 // Runs on one strand of `executor`.
 class OperatorServer {
  public:
-  // An empty token disables the check. Requests have small bodies, whatever
-  // `limits` says.
+  // An empty token disables the check.
   OperatorServer(const boost::asio::any_io_executor& executor,
                  std::string token,
                  OperatorHandlers handlers,
-                 const HttpServerLimits& limits = {});
+                 std::uint32_t max_connections = kDefaultMaxConnections);
   ~OperatorServer();
 
   // Listens on `address` ("ip:port") and serves. The error names the address
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -143,8 +143,10 @@
   std::vector<char> scratch(kRelayBytes);
   while (!this->parser->is_done()) {
     const std::size_t wanted = body.size() + scratch.size();
-    if (!this->ReserveAnswer(body,
-                             length ? std::min(*length, wanted) : wanted)) {
+    const bool has_room = this->buffer_share.Reserve(
+        body, length ? std::min(*length, wanted) : wanted, max_bytes);
+    // Without room the rest is passed on as it comes.
+    if (!has_room) {
       break;
     }
     const BodyReadResult piece = co_await ReadSomeBody<false>(
@@ -164,22 +166,6 @@
   co_return std::nullopt;
 }
 
-// Makes room for `bytes` in the buffer of the answer. Returns false if no
-// memory is left: the rest is then passed on as it comes.
-bool ProxyAttempt::ReserveAnswer(std::string& body, std::size_t bytes) {
-  if (bytes <= body.capacity()) {
-    return true;
-  }
-  const std::size_t doubled = std::min<std::size_t>(
-      2 * body.capacity(), this->context.settings.buffered_answer_bytes);
-  const std::size_t capacity = std::max(bytes, doubled);
-  if (!this->buffer_share.GrowTo(capacity)) {
-    return false;
-  }
-  body.reserve(capacity);
-  return true;
-}
-
 net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ParseAnswerHead() {
   boost::beast::flat_buffer& buffer = this->connection->buffer;
   this->parser = std::make_unique<Parser>();
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -29,17 +29,8 @@
 }  // namespace
 
 bool Exchange::ReserveBody(std::size_t bytes) {
-  if (bytes <= this->body_prefix.capacity()) {
-    return true;
-  }
-  const std::size_t doubled =
-      std::min(2 * this->body_prefix.capacity(), this->replayable_bytes);
-  const std::size_t capacity = std::max(bytes, doubled);
-  if (!this->body_share->GrowTo(capacity)) {
-    return false;
-  }
-  this->body_prefix.reserve(capacity);
-  return true;
+  return this->body_share->Reserve(this->body_prefix, bytes,
+                                   this->replayable_bytes);
 }
 
 void Exchange::DropBody() {
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -186,7 +186,6 @@
   boost::asio::awaitable<bool> SkipAnswer();
   bool IsForOtherRequest() const;
   boost::asio::awaitable<std::optional<AttemptResult>> BufferAnswer();
-  bool ReserveAnswer(std::string& body, std::size_t bytes);
   boost::asio::awaitable<AttemptResult> RelayBuffered(
       boost::beast::http::response<boost::beast::http::buffer_body> answer);
   void RecordAnswerHeaders();
--- a/src/proxy_dispatch.cc
+++ b/src/proxy_dispatch.cc
@@ -126,9 +126,13 @@
   return this->exchange->outcome_unknown || !this->attempts.empty();
 }
 
+bool ProxyExchange::IsTooLateToPassOn() const {
+  return !this->MayHaveBeenSent() &&
+         !this->context.MayPassOn(this->exchange->deadline);
+}
+
 void ProxyExchange::OnAdmissionEnd() {
-  if (this->exchange && !this->MayHaveBeenSent() &&
-      !this->context.MayPassOn(this->exchange->deadline)) {
+  if (this->exchange && this->IsTooLateToPassOn()) {
     this->RefuseForStop();
   }
 }
@@ -340,8 +344,7 @@
 
 void ProxyExchange::Handle(const StartAttempt& action) {
   this->start_deadline = TimePoint::max();
-  if (!this->MayHaveBeenSent() &&
-      !this->context.MayPassOn(this->exchange->deadline)) {
+  if (this->IsTooLateToPassOn()) {
     this->RefuseForStop();
     return;
   }
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -156,7 +156,7 @@
     co_return co_await this->Refuse(ErrorKind::kBodyTooLarge);
   }
   this->PrepareExchange(*snapshot, route, options);
-  if (!this->context.MayPassOn(this->exchange->deadline)) {
+  if (this->IsTooLateToPassOn()) {
     co_return co_await this->Refuse(ErrorKind::kStopping);
   }
   // A pipelined request is dispatched before earlier answers are written only
@@ -184,7 +184,7 @@
       co_return co_await this->Refuse(*error);
     }
   }
-  if (!this->context.MayPassOn(this->exchange->deadline)) {
+  if (this->IsTooLateToPassOn()) {
     co_return co_await this->Refuse(ErrorKind::kStopping);
   }
   co_return co_await this->Dispatch();
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -101,6 +101,8 @@
   void AllowPipelining();
   void EndAtDeadline(ErrorKind kind);
   bool MayHaveBeenSent() const;
+  // Nothing has been sent of it and the entry stops too soon to pass it on.
+  bool IsTooLateToPassOn() const;
   // Part of the request has not been read.
   bool IsCallerSending() const;
   void RefuseForStop();
--- a/src/request_quarantine.cc
+++ b/src/request_quarantine.cc
@@ -68,22 +68,16 @@
   }
   const std::lock_guard lock(this->mutex);
   this->AddCrash(fingerprint, {backend, started, now, true}, now);
-  schema::RequestReportT report;
-  report.fingerprint = fingerprint.Value();
-  report.event = schema::RequestEvent::Crashed;
-  report.backend = backend.Value();
-  report.ran_ms = MillisecondsSince(started, now);
-  this->AddReport(std::move(report), now);
+  this->AddReport(schema::RequestEvent::Crashed, fingerprint, backend, started,
+                  now);
 }
 
 void RequestQuarantine::OnAnswered(RequestFingerprint fingerprint,
                                    TimePoint now) {
   const std::lock_guard lock(this->mutex);
   if (this->Clear(fingerprint)) {
-    schema::RequestReportT report;
-    report.fingerprint = fingerprint.Value();
-    report.event = schema::RequestEvent::Answered;
-    this->AddReport(std::move(report), now);
+    this->AddReport(schema::RequestEvent::Answered, fingerprint, BackendId(),
+                    now, now);
   }
 }
 
@@ -318,11 +312,8 @@
       LogEvent("request_crash_withdrawn")
           .With("fingerprint", fingerprint)
           .With("backend_server", backend);
-      schema::RequestReportT report;
-      report.fingerprint = fingerprint.Value();
-      report.event = schema::RequestEvent::Withdrawn;
-      report.backend = backend.Value();
-      this->AddReport(std::move(report), now);
+      this->AddReport(schema::RequestEvent::Withdrawn, fingerprint, backend,
+                      now, now);
     }
   }
 }
@@ -361,11 +352,19 @@
 }
 
 // An entry without peers never sends its reports: the oldest are dropped.
-void RequestQuarantine::AddReport(schema::RequestReportT report,
+void RequestQuarantine::AddReport(schema::RequestEvent event,
+                                  RequestFingerprint fingerprint,
+                                  const BackendId& backend,
+                                  TimePoint started,
                                   TimePoint ended) {
   if (this->reports.size() >= kMaxUnsentReports) {
     this->reports.pop_front();
   }
+  schema::RequestReportT report;
+  report.fingerprint = fingerprint.Value();
+  report.event = event;
+  report.backend = backend.Value();
+  report.ran_ms = MillisecondsSince(started, ended);
   this->reports.push_back({std::move(report), ended});
 }
 
--- a/src/request_quarantine.h
+++ b/src/request_quarantine.h
@@ -152,7 +152,11 @@
   bool Clear(RequestFingerprint fingerprint);
   void ClearCrashes(RequestFingerprint fingerprint, Record& record);
   void Unindex(RequestFingerprint fingerprint, const BackendId& backend);
-  void AddReport(schema::RequestReportT report, TimePoint ended);
+  void AddReport(schema::RequestEvent event,
+                 RequestFingerprint fingerprint,
+                 const BackendId& backend,
+                 TimePoint started,
+                 TimePoint ended);
   void Begin(RequestFingerprint fingerprint, Record& record, TimePoint now);
   void Release(RequestFingerprint fingerprint, Record& record);
   void SetTimes(Record& record, TimePoint began);
