Let the soak judge CONFIG, and harm the store and the paths to it

Two seconds after each acknowledgement every entry is now asked, on a kept and on a new connection, for the route that the version added, the one that it removed and one that moves; these and all other requests are judged by the configurations that may be in force, at entries in touch.

The store loses answers, makes its polls deaf, drops its history, shows old rows and comes back from a copy; the paths to it are cut in one or both directions, slow, or go silent for good.

A second case harms the store and the paths to it only.

--- a/test/correctness/soak_check_test.cc
+++ b/test/correctness/soak_check_test.cc
@@ -43,7 +43,8 @@
           {Event(Kind::kStart, 0), Event(Kind::kStop, 8000),
            Event(Kind::kEnd, 10000), Event(Kind::kStart, 10100),
            Event(Kind::kStop, 20100), Event(Kind::kReload, 20200),
-           Event(Kind::kEnd, 22000)}};
+           Event(Kind::kEnd, 22000)},
+          {}};
 }
 
 // The rules that are broken once `change` has been made.
@@ -182,6 +183,74 @@
         }).empty());
 }
 
+TEST_CASE("A soak notices requests handled by an older configuration") {
+  // A request that runs at service `service`, and configurations acknowledged
+  // at 10 s, which goes to "old", and at `at`, which goes to `next`.
+  const auto configure = [](int at, const std::string& next,
+                            const std::string& service) {
+    return [=](SoakHistory& history) {
+      // Without the stop, which would put the entry out of touch.
+      history.events.resize(4);
+      history.calls[0].prefix = "/a/";
+      history.runs[0].service = service;
+      history.configurations = {
+          {SoakTime(9990), SoakTime(10000), {{"/a/", "old"}}},
+          {SoakTime(at - 10), SoakTime(at), {{"/a/", next}}}};
+      if (next.empty()) {
+        history.configurations[1].services.clear();
+      }
+    };
+  };
+  CHECK(Broken(configure(17900, "new", "old")) == Rules{"CONFIG"});
+  CHECK(Broken(configure(17900, "new", "new")).empty());
+  CHECK(Broken(configure(18100, "new", "old")).empty());
+  CHECK(Broken(configure(18100, "new", "new")).empty());
+  CHECK(Broken(configure(20500, "new", "new")) == Rules{"CONFIG"});
+  CHECK(Broken(configure(17900, "", "old")) == Rules{"CONFIG"});
+  const auto refuse = [](SoakHistory& history) {
+    history.calls[0].status = 404;
+    history.calls[0].is_signed = false;
+    history.runs.clear();
+  };
+  CHECK(Broken([&](SoakHistory& history) {
+          configure(17900, "new", "")(history);
+          refuse(history);
+        }) == Rules{"CONFIG"});
+  CHECK(Broken([&](SoakHistory& history) {
+          configure(18100, "", "")(history);
+          refuse(history);
+        }).empty());
+}
+
+TEST_CASE("A soak excuses older configurations at entries out of touch") {
+  const auto old_with = [](const std::vector<SoakEvent>& events) {
+    return Broken([&](SoakHistory& history) {
+      history.events.resize(4);
+      history.events.insert(history.events.end(), events.begin(), events.end());
+      history.calls[0].prefix = "/a/";
+      history.runs[0].service = "old";
+      history.configurations = {
+          {SoakTime(9990), SoakTime(10000), {{"/a/", "old"}}},
+          {SoakTime(14990), SoakTime(15000), {{"/a/", "new"}}}};
+    });
+  };
+  for (const Kind kind : {Kind::kStart, Kind::kStop, Kind::kThaw,
+                          Kind::kStoreCut, Kind::kStoreJoined}) {
+    CHECK(old_with({Event(kind, 17100)}).empty());
+    CHECK(old_with({Event(kind, 17100, 1)}) == Rules{"CONFIG"});
+  }
+  for (const Kind kind : {Kind::kSilence, Kind::kStoreSilence, Kind::kStoreAway,
+                          Kind::kStoreBack}) {
+    CHECK(old_with({Event(kind, 17100, -1)}).empty());
+  }
+  CHECK(old_with({Event(Kind::kStoreAway, 16000, -1)}).empty());
+  CHECK(old_with({Event(Kind::kStoreCut, 16000)}).empty());
+  CHECK(old_with({Event(Kind::kStoreAway, 14000, -1),
+                  Event(Kind::kStoreBack, 16900, -1),
+                  Event(Kind::kSilence, 16900, -1),
+                  Event(Kind::kReload, 18000)}) == Rules{"CONFIG"});
+}
+
 TEST_CASE("A soak notices processes that end by themselves or too late") {
   CHECK(Broken([](SoakHistory& history) {
           history.events.back().status = 1;
--- a/test/host_store.h
+++ b/test/host_store.h
@@ -8,10 +8,13 @@
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <mutex>
 #include <regex>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "src/base64.h"
 #include "test/proxy_fixture.h"
@@ -22,7 +25,38 @@
 // troubles. Thread-safe.
 class HostStore {
  public:
-  enum class Trouble { kNone, kAway, kSlow, kGarbled, kSilent };
+  enum class Trouble {
+    kNone,
+    // Connections are closed.
+    kAway,
+    kSlow,
+    kGarbled,
+    // Answers are lost, and their connections carry nothing for good.
+    kSilent,
+    // Three answers in ten are lost so.
+    kLossy,
+    // Polls hear nothing; when this ends, the history is dropped and their
+    // connections are closed.
+    kDeaf,
+    // Whole readings show the rows of kStaleness before.
+    kStale,
+  };
+  static constexpr std::chrono::milliseconds kStaleness{5500};
+
+ private:
+  struct Row {
+    std::string value;
+    std::int64_t version = 0;
+    bool removed = false;
+  };
+  using Table = std::map<std::string, Row>;
+
+ public:
+  // All rows at one moment.
+  struct Copy {
+    std::int64_t version = 1;
+    std::map<std::string, Table> tables;
+  };
 
   HostStore() : listener([this](TextStream& stream) { this->Serve(stream); }) {}
   ~HostStore() {
@@ -36,9 +70,26 @@
   std::string Address() const { return this->listener.Address(); }
   void SetTrouble(Trouble kind) {
     const std::lock_guard lock(this->mutex);
+    if (this->trouble == Trouble::kDeaf) {
+      this->history_start = this->now.version;
+    }
     this->trouble = kind;
     this->changed.notify_all();
   }
+  Copy Now() const {
+    const std::lock_guard lock(this->mutex);
+    return this->now;
+  }
+  // The store comes back from a copy: what was written since is gone, and its
+  // versions are given out again.
+  void Restore(Copy copy) {
+    const std::lock_guard lock(this->mutex);
+    this->now = std::move(copy);
+    this->history_start = this->now.version;
+    this->past.clear();
+    ++this->era;
+    this->changed.notify_all();
+  }
   // From now on a connection on which a row was written gets no more answers.
   void SilenceWriters() { this->silences_writers = true; }
   bool HasRemovedRow() const { return this->has_removed_row; }
@@ -48,24 +99,35 @@
     const std::lock_guard lock(this->mutex);
     this->Write(table, key, EncodeBase64(value), false);
   }
+  std::vector<std::string> Keys(const std::string& table) {
+    const std::lock_guard lock(this->mutex);
+    std::vector<std::string> keys;
+    for (const auto& [key, row] : this->now.tables[table]) {
+      if (!row.removed) {
+        keys.push_back(key);
+      }
+    }
+    return keys;
+  }
   void Remove(const std::string& table, const std::string& key) {
     const std::lock_guard lock(this->mutex);
     this->Write(table, key, "", true);
   }
 
  private:
-  struct Row {
-    std::string value;
-    std::int64_t version = 0;
-    bool removed = false;
-  };
-  using Table = std::map<std::string, Row>;
+  using Clock = std::chrono::steady_clock;
 
   void Write(const std::string& table,
              const std::string& key,
              const std::string& value,
              bool removed) {
-    this->tables[table][key] = {value, ++this->version, removed};
+    const auto time = Clock::now();
+    this->past.emplace_back(time, this->now);
+    while (this->past.size() > 1 &&
+           this->past[1].first < time - 2 * kStaleness) {
+      this->past.pop_front();
+    }
+    this->now.tables[table][key] = {value, ++this->now.version, removed};
     this->changed.notify_all();
   }
 
@@ -76,9 +138,34 @@
     return std::regex_search(request, match, pattern) ? match[1].str() : "";
   }
 
-  std::string Rows(const std::string& table, std::int64_t after, bool removed) {
+  // The rows that whole readings show.
+  const Copy& Readable() const {
+    if (this->trouble == Trouble::kStale) {
+      const auto time = Clock::now() - kStaleness;
+      for (const auto& [until, copy] : this->past) {
+        if (until > time) {
+          return copy;
+        }
+      }
+    }
+    return this->now;
+  }
+
+  std::string Reply(const std::string& status, const std::string& body) const {
+    return "HTTP/1.1 " + status +
+           "\r\nStore-Era: " + std::to_string(this->era) +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+
+  static std::string Rows(const Copy& copy,
+                          const std::string& table,
+                          std::int64_t after,
+                          bool removed) {
     boost::json::array rows;
-    for (const auto& [key, row] : this->tables[table]) {
+    const auto found = copy.tables.find(table);
+    for (const auto& [key, row] :
+         found == copy.tables.end() ? Table() : found->second) {
       if (row.version <= after || (row.removed && !removed)) {
         continue;
       }
@@ -92,14 +179,14 @@
       }
       rows.push_back(std::move(item));
     }
-    return boost::json::serialize(boost::json::object{{"ver", this->version},
+    return boost::json::serialize(boost::json::object{{"ver", copy.version},
                                                       {"nowS", 1},
                                                       {"hasMore", false},
                                                       {"rows", rows}});
   }
 
   bool HasNews(const std::string& table, std::int64_t after) {
-    const Table& rows = this->tables[table];
+    const Table& rows = this->now.tables[table];
     return std::any_of(rows.begin(), rows.end(), [after](const auto& row) {
       return row.second.version > after;
     });
@@ -111,10 +198,10 @@
       return std::string(row.at(name).as_string());
     };
     for (const auto& row : call.at("expectedRev").as_array()) {
-      const Row& held = this->tables[text(row, "table")][text(row, "key")];
+      const Row& held = this->now.tables[text(row, "table")][text(row, "key")];
       if ((held.removed ? 0 : held.version) !=
           row.at("ver").to_number<std::int64_t>()) {
-        return "HTTP/1.1 412 Conflict\r\nContent-Length: 2\r\n\r\n{}";
+        return this->Reply("412 Conflict", "{}");
       }
     }
     for (const auto& row : call.at("putRows").as_array()) {
@@ -125,9 +212,10 @@
       this->has_removed_row = true;
       this->Write(text(row, "table"), text(row, "key"), "", true);
     }
-    return Ok(this->Rows("", 0, false));
+    return this->Reply("200 OK", Rows(this->now, "", 0, false));
   }
 
+  // Empty if the connection ends.
   std::string Answer(const std::string& request) {
     std::unique_lock lock(this->mutex);
     const std::string table = Parameter(request, "table");
@@ -135,16 +223,36 @@
       return this->Transact(BodyOf(request));
     }
     if (request.find("/rows-feed") == std::string::npos) {
-      return Ok(this->Rows(table, 0, false));
+      return this->Reply("200 OK", Rows(this->Readable(), table, 0, false));
     }
     const std::int64_t after = std::stoll(Parameter(request, "after"));
+    const int asked_in = this->era;
     const std::chrono::milliseconds wait(
         std::stoll(Parameter(request, "waitMs")));
+    const auto is_gone = [&] {
+      return after < this->history_start || after > this->now.version;
+    };
     this->changed.wait_for(lock, wait, [&] {
       return this->stopping || this->trouble == Trouble::kAway ||
-             this->HasNews(table, after);
+             this->trouble == Trouble::kDeaf || this->era != asked_in ||
+             is_gone() || this->HasNews(table, after);
     });
-    return Ok(this->Rows(table, after, true));
+    if (this->trouble == Trouble::kDeaf) {
+      this->changed.wait(lock, [this] {
+        return this->stopping || this->trouble != Trouble::kDeaf;
+      });
+      return "";
+    }
+    return is_gone()
+               ? this->Reply("410 Gone", "{}")
+               : this->Reply("200 OK", Rows(this->now, table, after, true));
+  }
+
+  // Whether the answer that is due is lost.
+  bool LosesAnswer() {
+    const std::lock_guard lock(this->mutex);
+    return this->trouble == Trouble::kSilent ||
+           (this->trouble == Trouble::kLossy && ++this->answers % 10 < 3);
   }
 
   // Returns false if the connection ends.
@@ -152,6 +260,10 @@
     std::unique_lock lock(this->mutex);
     switch (this->trouble) {
       case Trouble::kNone:
+      case Trouble::kSilent:
+      case Trouble::kLossy:
+      case Trouble::kDeaf:
+      case Trouble::kStale:
         return true;
       case Trouble::kAway:
         return false;
@@ -162,38 +274,44 @@
       case Trouble::kGarbled:
         stream.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"ver\": -");
         return false;
-      case Trouble::kSilent:
-        this->changed.wait(lock, [this] {
-          return this->stopping || this->trouble != Trouble::kSilent;
-        });
-        return false;
     }
     return false;
   }
 
   void Serve(TextStream& stream) {
     bool is_writer = false;
+    bool is_silent = false;
     for (std::string request = stream.ReadMessage(); !request.empty();
          request = stream.ReadMessage()) {
-      if (is_writer && this->silences_writers) {
+      if (is_silent || (is_writer && this->silences_writers)) {
         continue;
       }
       is_writer = is_writer || request.find("/rows-tx") != std::string::npos;
-      if (!this->PlayTrouble(stream) || !stream.Send(this->Answer(request)) ||
-          !this->PlayTrouble(stream)) {
+      if (!this->PlayTrouble(stream)) {
+        return;
+      }
+      const std::string answer = this->Answer(request);
+      is_silent = this->LosesAnswer();
+      if (!is_silent && (answer.empty() || !stream.Send(answer) ||
+                         !this->PlayTrouble(stream))) {
         return;
       }
     }
   }
 
-  std::mutex mutex;
+  mutable std::mutex mutex;
   std::condition_variable changed;
   Trouble trouble = Trouble::kNone;
   bool stopping = false;
   std::atomic<bool> silences_writers{false};
   std::atomic<bool> has_removed_row{false};
-  std::int64_t version = 1;
-  std::map<std::string, Table> tables;
+  Copy now;
+  int era = 0;
+  int answers = 0;
+  // Feeds go back to this version.
+  std::int64_t history_start = 0;
+  // What was replaced, with the time until which it was in force.
+  std::deque<std::pair<Clock::time_point, Copy>> past;
   ThreadedListener listener;
 };
 
--- a/test/integration/process_soak_test.cc
+++ b/test/integration/process_soak_test.cc
@@ -1,6 +1,8 @@
 // A seeded soak of acacia-entry processes on the host platform: signals, ends,
-// restarts, configurations, leaving backend servers and outages of the store
-// overlap, while callers go on using their connections.
+// restarts, configurations, leaving backend servers, outages and restores of
+// the store, and cut, slow or silent connections to it overlap, while callers
+// go on using their connections. Two seconds after each configuration every
+// entry is asked which one it has in force.
 //
 // ACACIA_SOAK_SEED, ACACIA_SOAK_SECONDS and ACACIA_SOAK_ENTRIES choose another
 // run, ACACIA_SOAK_PROGRAM another acacia-entry to judge. Events whose names
@@ -26,16 +28,33 @@
   return std::stoi(Variable(name, std::to_string(otherwise)));
 }
 
-constexpr std::array<const char*, 14> kEventNames{
-    "start",   "SIGTERM",      "SIGTERM again", "SIGHUP",
-    "SIGSTOP", "SIGCONT",      "SIGKILL",       "SIGKILL after the grace time",
-    "end",     "store away",   "store back",    "connections silenced",
-    "leaving", "configuration"};
+constexpr std::array<const char*, 17> kEventNames{
+    "start",
+    "SIGTERM",
+    "SIGTERM again",
+    "SIGHUP",
+    "SIGSTOP",
+    "SIGCONT",
+    "SIGKILL",
+    "SIGKILL after the grace time",
+    "end",
+    "store away",
+    "store back",
+    "connections silenced",
+    "leaving",
+    "configuration",
+    "store cut",
+    "store joined",
+    "store connections silenced"};
+
+// What a soak does to the entries themselves.
+enum class Harm { kNone, kSignals };
 
 class Soak {
  public:
-  Soak(int seed, int seconds, int entries)
-      : seed(seed),
+  Soak(Harm harm, int seed, int seconds, int entries)
+      : harm(harm),
+        seed(seed),
         length(std::chrono::seconds(seconds)),
         random(static_cast<std::uint32_t>(seed)) {
     std::string pattern =
@@ -50,12 +69,14 @@
       entry.index = i;
       entry.host = this->network + std::to_string(i + 1);
       entry.settings = this->folder + "/e" + std::to_string(i) + ".json";
+      this->StartStoreLink(entry);
       this->WriteSettings(entry);
       this->Start(entry);
     }
   }
   ~Soak() {
     this->stopper.Stop();
+    this->questioners.clear();
     this->callers.clear();
     this->entries.clear();
     this->faults_io.stop();
@@ -78,12 +99,22 @@
                                        std::to_string(i),
                                    this->ledger, this->stopper);
       }
+      for (const bool keeps : {true, false}) {
+        this->questioners.emplace_back(entry.index, entry.host, kCallerPort,
+                                       "s" + std::to_string(this->seed) + "-e" +
+                                           std::to_string(entry.index) +
+                                           (keeps ? "-k" : "-q"),
+                                       keeps, this->ledger, this->stopper);
+      }
     }
     this->Plan();
     this->Play(this->ledger.Now() + this->length);
     this->stopper.Stop();
-    const auto left =
-        std::async(std::launch::async, [this] { this->callers.clear(); });
+    this->asking = false;
+    const auto left = std::async(std::launch::async, [this] {
+      this->questioners.clear();
+      this->callers.clear();
+    });
     while (left.wait_for(std::chrono::seconds(0)) !=
            std::future_status::ready) {
       this->Play(this->ledger.Now() + std::chrono::milliseconds(50));
@@ -106,6 +137,9 @@
   static constexpr std::uint16_t kCallerPort = 8144;
   static constexpr int kCallersPerEntry = 6;
   static constexpr int kBackends = 8;
+  static constexpr int kManyRoutes = 350;
+  // How long after a configuration must be in force the entries are asked.
+  static constexpr SoakTime kAskAfter{30};
 
   struct Entry {
     int index = 0;
@@ -138,45 +172,63 @@
   void StartBackends() {
     for (int i = 0; i < kBackends; ++i) {
       SoakBackend& backend = this->backends.emplace_back(
-          "i-" + std::to_string(i) + "-0", this->ledger, this->stopper);
-      const std::string host = this->ProxyHost(i);
-      schema::FaultProxySettingsT settings;
-      settings.listen = host + ":7000";
-      settings.target = backend.Address();
-      settings.operator_listen = host + ":7001";
-      this->proxies.emplace_back(this->faults_io.get_executor(), settings);
-      REQUIRE(this->proxies.back().Listen());
+          "i-" + std::to_string(i) + "-0", i % 2 == 0 ? "kehto" : "uniikki",
+          this->ledger, this->stopper);
+      this->StartProxy(this->ProxyHost(i), backend.Address());
       this->Register(i, "ready");
     }
     this->faults_thread = std::thread([this] { this->faults_io.run(); });
   }
 
+  // Listens at port 7000 of the host, and takes faults at port 7001.
+  void StartProxy(const std::string& host, const std::string& target) {
+    schema::FaultProxySettingsT settings;
+    settings.listen = host + ":7000";
+    settings.target = target;
+    settings.operator_listen = host + ":7001";
+    this->proxies.emplace_back(this->faults_io.get_executor(), settings);
+    REQUIRE(this->proxies.back().Listen());
+  }
+
+  void StartStoreLink(const Entry& entry) {
+    std::promise<void> started;
+    boost::asio::post(this->faults_io, [&] {
+      this->StartProxy(entry.host, this->store.Address());
+      started.set_value();
+    });
+    started.get_future().wait();
+  }
+
   std::string ProxyHost(int backend) const {
     return this->network + "2" + std::to_string(backend + 10);
   }
 
   void Register(int index, const std::string& state) {
-    this->store.Put(
-        "servers", this->backends[index].Instance(),
-        R"({"service":")" + std::string(index % 2 == 0 ? "kehto" : "uniikki") +
-            R"(","address":")" + this->ProxyHost(index) + R"(:7000","zone":")" +
-            (index % 4 < 2 ? "a" : "b") +
-            R"(","version":"1","slots":40,"state":")" + state +
-            R"(","coldLeftS":0,"seq":)" + std::to_string(++this->sequence) +
-            R"(,"born":)" + std::to_string(this->born[index]) + "}");
-  }
-
-  // Versions move the routes between the services, drop and add a route, and
-  // drop and add a service.
+    const std::string text =
+        R"({"service":")" + this->backends[index].Service() +
+        R"(","address":")" + this->ProxyHost(index) + R"(:7000","zone":")" +
+        (index % 4 < 2 ? "a" : "b") +
+        R"(","version":"1","slots":40,"state":")" + state +
+        R"(","coldLeftS":0,"seq":)" + std::to_string(++this->sequence) +
+        R"(,"born":)" + std::to_string(this->born[index]) + "}";
+    this->registrations[this->backends[index].Instance()] = text;
+    this->store.Put("servers", this->backends[index].Instance(), text);
+  }
+
+  // Versions move the routes between the services, drop and add routes, and
+  // drop and add a service. Some have routes by the hundred.
   void PutConfiguration() {
     const int version = ++this->configuration;
     const bool has_both = version % 4 != 0;
+    ConfigurationRecord record;
     const auto route = [&](const std::string& name, bool first,
                            const std::string& kind) {
+      const std::string service = first || !has_both ? "kehto" : "uniikki";
+      record.services["/" + name + "/"] = service;
       return R"(,{"resourceKind":"routes","metadata":{"name":")" + name +
              R"("},"spec":{"host":"h","prefix":"/)" + name +
-             R"(/","service":")" + (first || !has_both ? "kehto" : "uniikki") +
-             R"(","kind":")" + kind + R"(","maxAttempts":3,"timeoutS":)" +
+             R"(/","service":")" + service + R"(","kind":")" + kind +
+             R"(","maxAttempts":3,"timeoutS":)" +
              std::to_string(20 + version % 3) + "}}";
     };
     const auto service = [version](const std::string& name) {
@@ -184,17 +236,39 @@
              R"("},"spec":{"healthPath":"/health","maxConns":)" +
              std::to_string(300 + version) + "}}";
     };
-    this->store.Put(
-        "op", "config",
+    std::string text =
         R"({"version":"r)" + std::to_string(version * 3) +
-            R"(","resources":[{"resourceKind":"limits","metadata":{"name":)"
-            R"("limits"},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":1048576)"
-            R"(,"headerTimeoutS":5,"idleTimeoutS":5}})" +
-            service("kehto") + (has_both ? service("uniikki") : "") +
-            route("tasks", version % 2 == 0, "unsafe") +
-            route("safe", version % 3 == 0, "safe") +
-            (version % 2 == 1 ? route("more", true, "safe") : "") + "]}");
+        R"(","resources":[{"resourceKind":"limits","metadata":{"name":)"
+        R"("limits"},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":1048576)"
+        R"(,"headerTimeoutS":5,"idleTimeoutS":5}})" +
+        service("kehto") + (has_both ? service("uniikki") : "") +
+        route("tasks", version % 2 == 0, "unsafe") +
+        route("safe", version % 3 == 0, "safe") +
+        (version % 2 == 1 ? route("more", true, "safe") : "") +
+        route(OwnRoute(version), true, "safe");
+    for (int i = 0; version % 5 == 0 && i < kManyRoutes; ++i) {
+      text += route("many-" + std::to_string(i), true, "safe");
+    }
+    this->configuration_text = text + "]}";
+    record.sent = this->ledger.Now();
+    this->store.Put("op", "config", this->configuration_text);
+    record.acknowledged = this->ledger.Now();
+    this->ledger.Add(record);
     this->Note(Kind::kConfiguration, -1, "r" + std::to_string(version * 3));
+    this->After(SoakCheck::kApply + kAskAfter, [this, version] {
+      if (!this->asking) {
+        return;
+      }
+      for (SoakQuestioner& each : this->questioners) {
+        each.Ask({"/" + OwnRoute(version) + "/",
+                  "/" + OwnRoute(version - 1) + "/", "/safe/"});
+      }
+    });
+  }
+
+  // The name of a route that only this version has.
+  static std::string OwnRoute(int version) {
+    return "only-" + std::to_string(version);
   }
 
   void WriteSettings(const Entry& entry) {
@@ -206,8 +280,8 @@
          << R"("worker_threads": 1, "answer_lifetime_ms": 1500,)"
          << R"("replayable_body_bytes": 1048576,)"
          << R"("buffered_answer_bytes": 262144,)"
-         << R"("host_platform": {"store_address": ")" << this->store.Address()
-         << R"(", "lookup_listen": ")" << entry.host
+         << R"("host_platform": {"store_address": ")" << entry.host
+         << R"(:7000", "lookup_listen": ")" << entry.host
          << R"(:8143", "ready_listen": ")" << entry.host
          << R"(:8140", "peer_listen": ")" << entry.host
          << R"(:7660", "grace_s": 6, "retry_budget_ratio": 0.2,)"
@@ -378,6 +452,7 @@
     this->leaving.insert(index);
     const std::string instance = this->backends[index].Instance();
     const auto remove = [this, instance] {
+      this->registrations.erase(instance);
       this->store.Remove("servers", instance);
     };
     if (this->Draw(3) == 0) {
@@ -397,16 +472,85 @@
   }
 
   void TroubleStore() {
-    this->store_away = true;
-    this->Note(Kind::kStoreAway);
-    this->store.SetTrouble(static_cast<HostStore::Trouble>(1 + this->Draw(4)));
-    this->After(this->DrawTime(500, 4000), [this] {
-      this->store.SetTrouble(HostStore::Trouble::kNone);
-      this->store_away = false;
-      this->Note(Kind::kStoreBack);
+    using Trouble = HostStore::Trouble;
+    constexpr std::array<Trouble, 7> kTroubles{
+        Trouble::kAway,  Trouble::kSlow, Trouble::kGarbled, Trouble::kSilent,
+        Trouble::kLossy, Trouble::kDeaf, Trouble::kAway};
+    const int choice = this->Draw(static_cast<int>(kTroubles.size()));
+    const Trouble trouble = kTroubles.at(static_cast<std::size_t>(choice));
+    const bool restores = choice + 1 == static_cast<int>(kTroubles.size());
+    const auto copy = std::make_shared<HostStore::Copy>(this->store.Now());
+    this->After(SoakTime(restores ? this->DrawTime(500, 6000) : SoakTime(0)),
+                [this, trouble, restores, copy] {
+                  if (this->store_away) {
+                    return;
+                  }
+                  this->store_away = true;
+                  this->takes_writes =
+                      trouble == Trouble::kLossy || trouble == Trouble::kDeaf;
+                  this->Note(Kind::kStoreAway);
+                  this->store.SetTrouble(trouble);
+                  this->After(this->DrawTime(500, 4000),
+                              [this, trouble, restores, copy] {
+                                if (restores) {
+                                  this->Restore(*copy);
+                                }
+                                this->EndTrouble(trouble);
+                              });
+                });
+  }
+
+  void EndTrouble(HostStore::Trouble ended) {
+    if (ended == HostStore::Trouble::kDeaf) {
+      this->store.SetTrouble(HostStore::Trouble::kStale);
+      this->After(this->DrawTime(500, 5000),
+                  [this] { this->EndTrouble(HostStore::Trouble::kStale); });
+      return;
+    }
+    this->store.SetTrouble(HostStore::Trouble::kNone);
+    this->store_away = false;
+    this->Note(Kind::kStoreBack);
+  }
+
+  // The operator and the backend servers soon write again what was lost.
+  void Restore(const HostStore::Copy& copy) {
+    this->store.Restore(copy);
+    this->After(this->DrawTime(0, 1000), [this] {
+      this->store.Put("op", "config", this->configuration_text);
+      for (const auto& [instance, text] : this->registrations) {
+        this->store.Put("servers", instance, text);
+      }
+      for (const std::string& instance : this->store.Keys("servers")) {
+        if (!this->registrations.contains(instance)) {
+          this->store.Remove("servers", instance);
+        }
+      }
+    });
+  }
+
+  void CutFromStore(Entry& entry) {
+    constexpr std::array<const char*, 4> kFaults{
+        R"({"cut_to_target": true, "cut_to_caller": true})",
+        R"({"cut_to_target": true})", R"({"cut_to_caller": true})",
+        R"({"delay_ms": 300})"};
+    const int choice = this->Draw(static_cast<int>(kFaults.size()));
+    this->Note(Kind::kStoreCut, entry.index);
+    SetFaults(entry.host + ":7001",
+              kFaults.at(static_cast<std::size_t>(choice)));
+    this->After(this->DrawTime(500, 6000), [this, &entry] {
+      SetFaults(entry.host + ":7001", "{}");
+      this->Note(Kind::kStoreJoined, entry.index);
     });
   }
 
+  // Connections to the store go silent for good; new ones work.
+  void SilenceStore() {
+    this->Note(Kind::kStoreSilence);
+    for (const Entry& entry : this->entries) {
+      SetFaults(entry.host + ":7001", R"({"silence_existing": true})");
+    }
+  }
+
   void Silence() {
     this->Note(Kind::kSilence);
     for (int i = 0; i < kBackends; ++i) {
@@ -419,7 +563,9 @@
 
   void Plan() {
     for (Entry& entry : this->entries) {
-      this->PlanEntry(entry);
+      if (this->harm == Harm::kSignals) {
+        this->PlanEntry(entry);
+      }
     }
     const auto repeat = [&](int from, int to,
                             const std::function<void()>& action) {
@@ -428,10 +574,23 @@
         this->After(at, action);
       }
     };
-    repeat(1500, 5000, [this] {
-      if (!this->store_away) {
+    const auto configure = [this] {
+      if (!this->store_away || this->takes_writes) {
         this->PutConfiguration();
       }
+    };
+    repeat(1500, 5000, configure);
+    repeat(12000, 25000, [this, configure] {
+      for (int i = 0; i < 6; ++i) {
+        this->After(i * SoakTime(330), configure);
+      }
+    });
+    repeat(6000, 15000, [this] { this->SilenceStore(); });
+    repeat(5000, 15000, [this] {
+      // Those that are harmed in other ways too.
+      const int third = (static_cast<int>(this->entries.size()) + 2) / 3;
+      this->CutFromStore(
+          *std::next(this->entries.begin(), 3 * this->Draw(third)));
     });
     repeat(1500, 4000, [this] { this->Leave(this->Draw(kBackends)); });
     repeat(9000, 20000, [this] { this->TroubleStore(); });
@@ -512,6 +671,7 @@
     std::cerr << text.str();
   }
 
+  const Harm harm;
   const int seed;
   const SoakTime length;
   const std::string left_out = "," + Variable("ACACIA_SOAK_WITHOUT", "") + ",";
@@ -528,22 +688,40 @@
   std::thread faults_thread;
   std::list<Entry> entries;
   std::list<SoakCaller> callers;
+  std::list<SoakQuestioner> questioners;
   std::multimap<SoakTime, std::function<void()>> plan;
   std::set<int> leaving;
   bool store_away = false;
+  // The store takes what the operator writes, although it is in trouble.
+  bool takes_writes = false;
+  // What the store must hold.
+  std::map<std::string, std::string> registrations;
+  std::string configuration_text;
   bool restarting = true;
+  // The questioners are there.
+  bool asking = true;
   int sequence = 0;
   int configuration = 0;
 };
 
-// Guards FAULT, LOST, TWICE, REFUSED, MIXED and DRAIN.
-TEST_CASE("Entries under overlapping planned work keep their promises") {
-  Soak soak(Number("ACACIA_SOAK_SEED", 1), Number("ACACIA_SOAK_SECONDS", 35),
+void RunSoak(Harm harm, int seconds) {
+  Soak soak(harm, Number("ACACIA_SOAK_SEED", 1),
+            Number("ACACIA_SOAK_SECONDS", seconds),
             Number("ACACIA_SOAK_ENTRIES", 5));
   for (const std::string& violation : soak.Run()) {
     FAIL_CHECK(violation);
   }
 }
 
+// Guards FAULT, LOST, TWICE, REFUSED, MIXED, DRAIN and CONFIG.
+TEST_CASE("Entries under overlapping planned work keep their promises") {
+  RunSoak(Harm::kSignals, 35);
+}
+
+// Guards CONFIG and DRAIN.
+TEST_CASE("Entries whose connections to the store go silent keep up with it") {
+  RunSoak(Harm::kNone, 25);
+}
+
 }  // namespace
 }  // namespace acacia
--- a/test/soak_check.h
+++ b/test/soak_check.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
 
   std::string id;
   int entry = 0;
+  // The path's prefix, which selects the route.
+  std::string prefix;
   bool safe = false;
   // An answer had come on the connection before.
   bool kept_connection = false;
@@ -41,15 +44,26 @@
 
   std::string id;
   std::string instance;
+  std::string service;
   SoakTime begun{};
   SoakTime ended{};
   End end = End::kAtWork;
   bool own_body = true;
 };
 
-// What happened to an entry, to the store (kStoreAway and kStoreBack), to the
-// connections to backend servers (kSilence) or, of their registrations,
-// kLeaving: the store has acknowledged that `instance` leaves.
+// A configuration that the store has acknowledged.
+struct ConfigurationRecord {
+  SoakTime sent{};
+  SoakTime acknowledged{};
+  // The service of each path prefix that has a route.
+  std::map<std::string, std::string> services;
+};
+
+// What happened to an entry, to its path to the store (kStoreCut and
+// kStoreJoined), to the store (kStoreAway and kStoreBack), to the connections
+// to backend servers (kSilence) or of all entries to the store (kStoreSilence)
+// or, of registrations, kLeaving: the store has acknowledged that `instance`
+// leaves.
 struct SoakEvent {
   enum class Kind {
     kStart,
@@ -66,6 +80,9 @@
     kSilence,
     kLeaving,
     kConfiguration,
+    kStoreCut,
+    kStoreJoined,
+    kStoreSilence,
   };
 
   Kind kind = Kind::kStart;
@@ -80,6 +97,8 @@
   std::vector<CallRecord> calls;
   std::vector<RunRecord> runs;
   std::vector<SoakEvent> events;
+  // In the order of their versions.
+  std::vector<ConfigurationRecord> configurations;
 };
 
 class SoakCheck {
@@ -87,6 +106,7 @@
   static constexpr SoakTime kGrace{6000};
   static constexpr SoakTime kStable{3000};
   static constexpr SoakTime kDrain{2500};
+  static constexpr SoakTime kApply{2000};
 
   explicit SoakCheck(const SoakHistory& history) : history(history) {
     for (const RunRecord& run : history.runs) {
@@ -104,6 +124,7 @@
       this->CheckAnswer(call);
       this->CheckRuns(call);
       this->CheckLost(call);
+      this->CheckConfiguration(call);
     }
     for (const RunRecord& run : this->history.runs) {
       this->CheckDrain(run);
@@ -251,6 +272,79 @@
     }
   }
 
+  // Whether, between the times, the store was sound and the entry's path to it.
+  bool IsStoreReachable(int entry, SoakTime from, SoakTime to) const {
+    int disruptions = 0;
+    for (const SoakEvent& event : this->history.events) {
+      if (event.at > to) {
+        break;
+      }
+      const bool own = event.entry == entry;
+      const bool begins = event.kind == Kind::kStoreAway ||
+                          (event.kind == Kind::kStoreCut && own);
+      const bool ends = event.kind == Kind::kStoreBack ||
+                        (event.kind == Kind::kStoreJoined && own);
+      if ((begins || ends) && event.at >= from) {
+        return false;
+      }
+      disruptions += begins ? 1 : ends ? -1 : 0;
+    }
+    return disruptions == 0;
+  }
+
+  // Whether the entry was in touch, from kStable before `from` until `to`: it
+  // ran without a stop or start, and reached a sound store.
+  bool IsInTouch(int entry, SoakTime from, SoakTime to) const {
+    const SoakTime since = from - kStable;
+    return !this->IsDisturbed(entry, since, to) &&
+           this->IsStoreReachable(entry, since, to) &&
+           std::none_of(
+               this->history.events.begin(), this->history.events.end(),
+               [&](const SoakEvent& event) {
+                 const bool concerns =
+                     event.kind == Kind::kStoreSilence ||
+                     (event.entry == entry && event.kind != Kind::kReload);
+                 return concerns && event.at >= since && event.at <= to;
+               });
+  }
+
+  // The services that the configurations which may be in force for a request
+  // name for its path, "" where one has no route for it.
+  std::set<std::string> AllowedServices(const CallRecord& call) const {
+    std::set<std::string> allowed;
+    const auto& all = this->history.configurations;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+      const bool superseded = i + 1 < all.size() &&
+                              all[i + 1].acknowledged + kApply < call.head_sent;
+      if (!superseded && all[i].sent <= call.ended) {
+        const auto found = all[i].services.find(call.prefix);
+        allowed.insert(found == all[i].services.end() ? "" : found->second);
+      }
+    }
+    return allowed;
+  }
+
+  void CheckConfiguration(const CallRecord& call) {
+    const std::set<std::string> allowed = this->AllowedServices(call);
+    if (allowed.empty() ||
+        !this->IsInTouch(call.entry, call.head_sent, call.ended)) {
+      return;
+    }
+    constexpr int kNoRoute = 404;
+    if (call.status == kNoRoute && !call.is_signed && !allowed.contains("")) {
+      this->Report("CONFIG", call, "refused though " + call.prefix + " exists");
+    }
+    for (const RunRecord* run : this->runs[call.id]) {
+      if (run->end != RunRecord::End::kRejected &&
+          !allowed.contains(run->service)) {
+        this->Report("CONFIG", call,
+                     "run by " + run->service +
+                         " as only an older version of " + call.prefix +
+                         " allows");
+      }
+    }
+  }
+
   void CheckDrain(const RunRecord& run) {
     const auto call = this->calls.find(run.id);
     if (run.end == RunRecord::End::kRejected || call == this->calls.end()) {
@@ -266,8 +360,9 @@
                       [&](const SoakEvent& event) {
                         const bool store = event.kind == Kind::kStoreAway ||
                                            event.kind == Kind::kStoreBack;
-                        const bool own = event.entry == call->second->entry &&
-                                         event.kind != Kind::kReload;
+                        const bool own = event.kind == Kind::kStoreSilence ||
+                                         (event.entry == call->second->entry &&
+                                          event.kind != Kind::kReload);
                         return (store && event.at >= leaving.at - kStable &&
                                 event.at <= run.begun) ||
                                (own && event.at >= run.begun - kStable &&
--- a/test/soak_world.h
+++ b/test/soak_world.h
@@ -30,6 +30,10 @@
     const std::lock_guard lock(this->mutex);
     this->history.calls.push_back(std::move(call));
   }
+  void Add(ConfigurationRecord configuration) {
+    const std::lock_guard lock(this->mutex);
+    this->history.configurations.push_back(std::move(configuration));
+  }
   void Add(SoakEvent event) {
     event.at = this->Now();
     const std::lock_guard lock(this->mutex);
@@ -96,8 +100,16 @@
 // A backend server whose faults depend on the request's id only.
 class SoakBackend {
  public:
-  SoakBackend(std::string instance, SoakLedger& ledger, SoakStopper& stopper)
-      : ledger(ledger), stopper(stopper), instance(std::move(instance)) {}
+  SoakBackend(std::string instance,
+              std::string service,
+              SoakLedger& ledger,
+              SoakStopper& stopper)
+      : service(std::move(service)),
+        ledger(ledger),
+        stopper(stopper),
+        instance(std::move(instance)) {}
+
+  const std::string& Service() const { return this->service; }
 
   // The next start at the same address.
   void SetInstance(const std::string& id) {
@@ -142,6 +154,7 @@
     RunRecord arrival;
     arrival.id = id;
     arrival.instance = own;
+    arrival.service = this->service;
     arrival.own_body = body == SoakBody(id, body.size());
     const auto [run, earlier] = this->ledger.Begin(arrival);
     const std::string expected =
@@ -184,6 +197,7 @@
     return sent;
   }
 
+  const std::string service;
   SoakLedger& ledger;
   SoakStopper& stopper;
   mutable std::mutex mutex;
@@ -300,6 +314,129 @@
   std::string unread;
 };
 
+// The head of a request for the call's prefix.
+inline std::string SoakHead(const std::string& method,
+                            const CallRecord& call,
+                            std::size_t size) {
+  return method + " " + call.prefix + call.id +
+         " HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: " + call.id +
+         "\r\nX-Acaciaswitch-Deadline-Ms: " +
+         std::to_string(call.deadline.count()) +
+         "\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n";
+}
+
+// Reads the call's answer and records it. Returns whether the entry says that
+// it is the connection's last one.
+inline bool ReadSoakAnswer(SoakConnection& connection,
+                           SoakTime time,
+                           CallRecord& call) {
+  const SoakConnection::Answer answer = connection.Read(time);
+  call.end = answer.end;
+  if (!answer.head.empty()) {
+    call.status = std::stoi(answer.head.substr(9, 3));
+  }
+  const std::string signature =
+      Field(answer.head, "X-Acaciaswitch-Response-Signature");
+  call.is_signed = signature.rfind("sig-" + call.id + "-", 0) == 0;
+  call.own_body =
+      answer.body == SoakBody(call.id, answer.body.size()) &&
+      signature == "sig-" + call.id + "-" + std::to_string(answer.body.size());
+  return Field(answer.head, "Connection") == "close";
+}
+
+// Asks one entry for the routes that it is told, to find out which
+// configuration is in force there.
+class SoakQuestioner {
+ public:
+  // `keeps_connection`: asks on one connection, not on a new one each time.
+  SoakQuestioner(int entry,
+                 std::string host,
+                 std::uint16_t port,
+                 const std::string& name,
+                 bool keeps_connection,
+                 SoakLedger& ledger,
+                 SoakStopper& stopper)
+      : entry(entry),
+        host(std::move(host)),
+        port(port),
+        name(name),
+        keeps_connection(keeps_connection),
+        ledger(ledger),
+        stopper(stopper),
+        thread([this] { this->Run(); }) {}
+  ~SoakQuestioner() { this->thread.join(); }
+  SoakQuestioner(const SoakQuestioner&) = delete;
+  SoakQuestioner& operator=(const SoakQuestioner&) = delete;
+
+  void Ask(const std::vector<std::string>& prefixes) {
+    const std::lock_guard lock(this->mutex);
+    this->waiting.insert(this->waiting.end(), prefixes.begin(), prefixes.end());
+  }
+
+ private:
+  static constexpr SoakTime kDeadline{1000};
+
+  std::string TakePrefix() {
+    const std::lock_guard lock(this->mutex);
+    if (this->waiting.empty()) {
+      return "";
+    }
+    std::string prefix = this->waiting.front();
+    this->waiting.pop_front();
+    return prefix;
+  }
+
+  void Run() {
+    for (;;) {
+      const std::string prefix = this->TakePrefix();
+      if (!prefix.empty()) {
+        this->Call(prefix);
+      } else if (this->stopper.Wait(std::chrono::milliseconds(5))) {
+        return;
+      }
+    }
+  }
+
+  void Call(const std::string& prefix) {
+    if (!this->keeps_connection) {
+      this->connection.Close();
+    }
+    if (!this->connection.IsOpen() &&
+        !this->connection.Connect(this->host, this->port)) {
+      return;
+    }
+    CallRecord call;
+    call.id = this->name + "-" + std::to_string(++this->count);
+    call.entry = this->entry;
+    call.prefix = prefix;
+    call.safe = true;
+    call.deadline = kDeadline;
+    call.kept_connection = this->connection.IsKept();
+    call.head_sent = this->ledger.Now();
+    call.whole = this->connection.Send(SoakHead("GET", call, 0));
+    call.last_byte = this->ledger.Now();
+    const bool is_last = ReadSoakAnswer(this->connection, 2 * kDeadline, call);
+    if (is_last || call.end != CallRecord::End::kAnswered) {
+      this->connection.Close();
+    }
+    call.ended = this->ledger.Now();
+    this->ledger.Add(std::move(call));
+  }
+
+  const int entry;
+  const std::string host;
+  const std::uint16_t port;
+  const std::string name;
+  const bool keeps_connection;
+  SoakLedger& ledger;
+  SoakStopper& stopper;
+  SoakConnection connection;
+  int count = 0;
+  std::mutex mutex;
+  std::deque<std::string> waiting;
+  std::thread thread;
+};
+
 // Sends requests to one entry, one after the other, on a connection that it
 // keeps for as long as the entry does.
 class SoakCaller {
@@ -354,16 +491,13 @@
     const std::chrono::milliseconds stop(first < size ? this->Draw(6000) : 0);
     call.deadline = stop + std::chrono::milliseconds(1500 + this->Draw(6500));
     call.kept_connection = this->connection.IsKept();
-    const std::string method = !call.safe           ? "POST /tasks/"
-                               : this->Draw(8) == 0 ? "GET /more/"
-                                                    : "GET /safe/";
+    call.prefix = !call.safe           ? "/tasks/"
+                  : this->Draw(8) == 0 ? "/more/"
+                                       : "/safe/";
     call.head_sent = this->ledger.Now();
-    call.whole = this->connection.Send(
-        method + call.id +
-        " HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: " + call.id +
-        "\r\nX-Acaciaswitch-Deadline-Ms: " +
-        std::to_string(call.deadline.count()) + "\r\nContent-Length: " +
-        std::to_string(size) + "\r\n\r\n" + body.substr(0, first));
+    call.whole =
+        this->connection.Send(SoakHead(call.safe ? "GET" : "POST", call, size) +
+                              body.substr(0, first));
     if (call.whole && first < size) {
       std::this_thread::sleep_for(stop);
       call.whole = this->connection.Send(body.substr(first));
@@ -383,19 +517,8 @@
   void ReadAnswer(CallRecord& call) {
     const auto left = call.head_sent + call.deadline + std::chrono::seconds(3) -
                       this->ledger.Now();
-    const SoakConnection::Answer answer =
-        this->connection.Read(std::max(left, SoakTime(500)));
-    call.end = answer.end;
-    if (!answer.head.empty()) {
-      call.status = std::stoi(answer.head.substr(9, 3));
-    }
-    const std::string signature =
-        Field(answer.head, "X-Acaciaswitch-Response-Signature");
-    call.is_signed = signature.rfind("sig-" + call.id + "-", 0) == 0;
-    call.own_body = answer.body == SoakBody(call.id, answer.body.size()) &&
-                    signature == "sig-" + call.id + "-" +
-                                     std::to_string(answer.body.size());
-    const bool is_last = Field(answer.head, "Connection") == "close";
+    const bool is_last =
+        ReadSoakAnswer(this->connection, std::max(left, SoakTime(500)), call);
     if (call.end != CallRecord::End::kAnswered || !call.whole ||
         (is_last && !this->ignores_close)) {
       this->connection.Close();
