Log what followers of the store are told, and when it last told them anything

Now store_lost and table_behind say how long ago the store last answered; table_changes_stale, table_rows_not_newer and configuration_not_newer name what is dropped; configuration_read names the row's version.

--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -205,7 +205,7 @@
   };
   this->followers[TableIndex(table)] = std::make_unique<TableFollower>(
       this->strand, name, this->adapter.make_store(), std::move(events),
-      this->random);
+      this->clock, this->random);
 }
 
 tl::expected<void, std::string> HostControl::State::Start() {
@@ -289,7 +289,12 @@
         .With("reason", configuration.error());
     return;
   }
-  if (configuration->generation <= this->generation) {
+  const bool is_newer = configuration->generation > this->generation;
+  LogEvent(is_newer ? "configuration_read" : "configuration_not_newer")
+      .With("generation", configuration->generation)
+      .With("in_force", this->generation)
+      .With("row_version", row.version);
+  if (!is_newer) {
     return;
   }
   this->generation = configuration->generation;
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -37,11 +37,15 @@
 }  // namespace
 
 struct TableFollower::State : std::enable_shared_from_this<State> {
-  State(const net::any_io_executor& executor, RandomSource& random)
+  State(const net::any_io_executor& executor,
+        const Clock& clock,
+        RandomSource& random)
       : executor(executor),
         timer(executor),
         arrival_timer(executor),
-        random(random) {}
+        clock(clock),
+        random(random),
+        answered_at(clock.Now()) {}
 
   net::awaitable<void> Run();
   net::awaitable<void> ReadWhole();
@@ -51,7 +55,8 @@
   void Accept(const TableRows& changes);
   net::awaitable<void> Pause(std::chrono::milliseconds duration);
   net::awaitable<void> OnFailure(RowStoreError error);
-  void ReportCall(const tl::expected<TableRows, RowStoreError>& answer) const;
+  void OnCallEnded(const tl::expected<TableRows, RowStoreError>& answer);
+  std::int64_t MillisecondsSinceAnswer() const;
   void AbandonWait();
   void RecordRowVersions(const TableRows& rows);
   void SetAvailable(bool now_available);
@@ -59,7 +64,10 @@
   net::any_io_executor executor;
   net::steady_timer timer;
   net::steady_timer arrival_timer;
+  const Clock& clock;
   RandomSource& random;
+  // When the store last answered a call for this table.
+  TimePoint answered_at;
   std::string table;
   std::unique_ptr<RowStore> store;
   TableEvents events;
@@ -118,7 +126,7 @@
   if (this->stopped) {
     co_return;
   }
-  this->ReportCall(rows);
+  this->OnCallEnded(rows);
   if (!rows) {
     // A full reading needs no history.
     co_await this->OnFailure(rows.error() == RowStoreError::kHistoryGone
@@ -176,16 +184,30 @@
   this->RecordRowVersions(newer);
   if (!newer.rows.empty()) {
     this->events.on_changes(newer);
+  } else if (!changes.rows.empty()) {
+    LogEvent("table_rows_not_newer")
+        .With("table", this->table)
+        .With("version", changes.version)
+        .With("count", changes.rows.size());
   }
 }
 
-void TableFollower::State::ReportCall(
-    const tl::expected<TableRows, RowStoreError>& answer) const {
+void TableFollower::State::OnCallEnded(
+    const tl::expected<TableRows, RowStoreError>& answer) {
+  if (answer) {
+    this->answered_at = this->clock.Now();
+  }
   if (this->events.on_call) {
     this->events.on_call(answer ? std::nullopt : std::optional(answer.error()));
   }
 }
 
+std::int64_t TableFollower::State::MillisecondsSinceAnswer() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             this->clock.Now() - this->answered_at)
+      .count();
+}
+
 net::awaitable<void> TableFollower::State::ReadChanges() {
   const Duration wait =
       this->available == false
@@ -202,7 +224,7 @@
   if (this->stopped) {
     co_return;
   }
-  this->ReportCall(changes);
+  this->OnCallEnded(changes);
   if (!changes && std::exchange(this->wait_abandoned, false)) {
     this->needs_whole = true;
     co_return;
@@ -214,7 +236,11 @@
   this->SetAvailable(true);
   this->retry_pause = kFirstRetryPause;
   if (changes->version < *this->version) {
-    // Stale answer; the next poll catches up.
+    // The next poll catches up.
+    LogEvent("table_changes_stale", LogSeverity::kWarning)
+        .With("table", this->table)
+        .With("version", changes->version)
+        .With("held", *this->version);
     co_await this->Pause(kBatchPause);
     co_return;
   }
@@ -238,7 +264,8 @@
   if (this->available != false) {
     LogEvent("store_lost", LogSeverity::kWarning)
         .With("table", this->table)
-        .With("reason", RowStoreErrorName(error));
+        .With("reason", RowStoreErrorName(error))
+        .With("last_answer_ms_ago", this->MillisecondsSinceAnswer());
   }
   this->SetAvailable(false);
   const double jitter = 0.5 + this->random.Fraction();
@@ -267,7 +294,8 @@
   LogEvent("table_behind", LogSeverity::kWarning)
       .With("table", this->table)
       .With("version", this->version.value_or(RowVersion()))
-      .With("others_know", this->expected);
+      .With("others_know", this->expected)
+      .With("last_answer_ms_ago", this->MillisecondsSinceAnswer());
   if (this->awaits_relay) {
     this->is_behind = true;
     this->timer.cancel();
@@ -298,8 +326,9 @@
                              std::string table,
                              std::unique_ptr<RowStore> store,
                              TableEvents events,
+                             const Clock& clock,
                              RandomSource& random)
-    : state(std::make_shared<State>(executor, random)) {
+    : state(std::make_shared<State>(executor, clock, random)) {
   this->state->table = std::move(table);
   this->state->store = std::move(store);
   this->state->events = std::move(events);
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -35,13 +35,15 @@
   std::function<void(std::optional<RowStoreError> error)> on_call{};
 };
 
-// Use on one strand. Calls back on the executor.
+// Use on one strand. Calls back on the executor. The clock and the random
+// source must outlive this object.
 class TableFollower {
  public:
   TableFollower(const boost::asio::any_io_executor& executor,
                 std::string table,
                 std::unique_ptr<RowStore> store,
                 TableEvents events,
+                const Clock& clock,
                 RandomSource& random);
   ~TableFollower();
 
--- a/test/correctness/silent_connections_test.cc
+++ b/test/correctness/silent_connections_test.cc
@@ -77,6 +77,7 @@
             "t",
             std::unique_ptr<RowStore>(this->store),
             {[](const TableRows&) {}, [](const TableRows&) {}, [](bool) {}},
+            this->clock,
             random) {
     this->follower.Start();
   }
@@ -91,6 +92,7 @@
   }
 
   net::io_context& context;
+  const SystemClock clock;
   // Owned by the follower.
   SeverableStore* store;
   TableFollower follower;
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -92,7 +92,7 @@
             [this](std::optional<RowStoreError> error) {
               this->results.push_back(error);
             }},
-        this->random);
+        this->clock, this->random);
     this->follower->Start();
   }
   void AwaitCalls(std::size_t count) {
@@ -108,6 +108,7 @@
   }
 
   net::io_context context;
+  SystemClock clock;
   SeededRandom random{1};
   std::deque<HttpReply> script;
   std::vector<HttpRequest> calls;
