End the polls of the store's readers in turn

Callers saw requests run by services that a confirmed configuration had taken their routes from, or refused with 404 on routes that it had added, at every entry of the fleet at once; also requests at backend servers that had left.

Each reader learns of changes by a poll of 7 to 12 s, and a change ends and renews the polls of all readers at the same moment. If the connections to the store go silent after that, no poll ends for 7 s, and until then nobody knows that there is anything to know: no line is logged, the readers' claims hold, and the listeners rely on them. Keep-alive probes do not help where the connection ends at something that acknowledges them. A listener whose relay was late then polled on its own unused connection, which had gone silent as well.

Now the readers of the fleet end their polls of configuration and registrations in turn, one every 0.75 s, and return to their turns after each change. So within 0.75 s and the slack of a call somebody notices, reads on a new connection and tells the others, who give up their own. A listener that misses a relayed change closes its connection to the store before it asks.

--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -80,6 +80,10 @@
   ReaderRole Role() const { return this->role; }
   // Returns whether another entry reads all changes after this version for this
   // one.
+  // The turn of this entry's polls; nullopt for a listener.
+  std::optional<PollTurn> Turn() const {
+    return this->readers.Turn(this->directory, this->clock.Now());
+  }
   bool IsReadByOthers(FollowedTable table, RowVersion after) const;
 
  private:
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -525,12 +525,17 @@
 // it is back.
 void HostControl::State::ApplyRole() {
   const bool listens = this->peers.Role() == ReaderRole::kListener;
+  const std::optional<PollTurn> turn = this->peers.Turn();
   this->metrics.SetReadsStore(!listens);
   for (const FollowedTable table : schema::EnumValuesFollowedTable()) {
     TableFollower& follower = this->Follower(table);
     this->metrics.SetVersion(table, follower.Version());
     follower.SetReadByOthers(
         this->peers.IsReadByOthers(table, follower.Version()));
+    // No bound depends on how soon entries learn of members.
+    if (table != FollowedTable::Members) {
+      follower.SetPollTurn(turn);
+    }
     const bool is_prompt = table == FollowedTable::Registrations && !listens;
     follower.SetMaxRetryPause(is_prompt ? TableFollower::kMaxRetryPause
                                         : kMaxSecondaryRetryPause);
--- a/src/member_directory.h
+++ b/src/member_directory.h
@@ -56,6 +56,7 @@
   bool IsDomainPeer(const InstanceId& instance) const;
 
   InstanceId Self() const { return InstanceId(this->self.instance); }
+  const std::string& SelfDomain() const { return this->self.failure_domain; }
   // Sets the entries of this one's cell, which send it heartbeats. Empty: all
   // entries of the failure domain do.
   void SetCellPeers(const std::vector<InstanceId>& cell_peers);
--- a/src/row_store.h
+++ b/src/row_store.h
@@ -65,7 +65,7 @@
   virtual boost::asio::awaitable<tl::expected<TableRows, RowStoreError>>
   AwaitChanges(std::string table, RowVersion after, Duration wait) = 0;
 
-  // Aborts the pending call, which then fails.
+  // Closes the connection. A pending call fails; the next one opens another.
   virtual void Abort() = 0;
 
   // Writes a row unconditionally. Returns its new version.
--- a/src/store_readers.cc
+++ b/src/store_readers.cc
@@ -20,6 +20,38 @@
   }
 }
 
+// First readers take their turns before second ones, in the order of their
+// failure domains' names.
+std::optional<PollTurn> StoreReaders::Turn(const MemberDirectory& directory,
+                                           TimePoint now) const {
+  const ReaderRole role = this->Role(directory, now);
+  if (role == ReaderRole::kListener) {
+    return std::nullopt;
+  }
+  std::map<std::string, std::size_t> domain_sizes;
+  ++domain_sizes[directory.SelfDomain()];
+  for (const auto& [instance, member] : directory.Members()) {
+    if (instance != this->self) {
+      ++domain_sizes[member.failure_domain];
+    }
+  }
+  std::size_t seconds = 0;
+  std::size_t earlier_firsts = 0;
+  std::size_t earlier_seconds = 0;
+  for (const auto& [domain, size] : domain_sizes) {
+    if (domain == directory.SelfDomain()) {
+      earlier_seconds = seconds;
+    } else if (domain < directory.SelfDomain()) {
+      ++earlier_firsts;
+    }
+    seconds += size > 1 ? 1 : 0;
+  }
+  const std::size_t firsts = domain_sizes.size();
+  return PollTurn{
+      role == ReaderRole::kFirst ? earlier_firsts : firsts + earlier_seconds,
+      firsts + seconds};
+}
+
 void StoreReaders::OnReadClaim(const InstanceId& from,
                                const TableVersions& since,
                                TimePoint now) {
--- a/src/store_readers.h
+++ b/src/store_readers.h
@@ -13,12 +13,14 @@
 #define SRC_STORE_READERS_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "src/clock.h"
 #include "src/ids.h"
 #include "src/member_directory.h"
 #include "src/peer_messages.h"
+#include "src/poll_turn.h"
 
 namespace acacia {
 
@@ -45,6 +47,11 @@
 
   ReaderRole Role(const MemberDirectory& directory, TimePoint now) const;
 
+  // The turn of this entry, if it is a reader, among the readers of all failure
+  // domains. Entries that know different members may take the same turn.
+  std::optional<PollTurn> Turn(const MemberDirectory& directory,
+                               TimePoint now) const;
+
   // Records the versions since which the entry `from` has read each table
   // without a gap; 0 for a table that it does not read. All 0 withdraws its
   // claim.
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -15,10 +15,9 @@
 namespace net = boost::asio;
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
-// A long poll asks the store to wait between kMinPollWait and kMinPollWait +
-// kPollWaitSpread for changes, drawn at random for each call. Long, because
-// each call costs. The spread lets an entry whose answer is lost hear of the
-// change from another entry whose wait has ended meanwhile.
+// The poll of an entry that is no reader, but has nobody to read for it, asks
+// the store to wait between kMinPollWait and kMinPollWait + kPollWaitSpread for
+// changes, drawn at random for each call. Long, because each call costs.
 constexpr Duration kMinPollWait = std::chrono::seconds(7);
 constexpr Duration kPollWaitSpread = std::chrono::seconds(5);
 // Wait of the first poll after a failure: short, to detect soon a store that
@@ -57,6 +56,7 @@
   net::awaitable<void> OnFailure(RowStoreError error);
   void OnCallEnded(const tl::expected<TableRows, RowStoreError>& answer);
   std::int64_t MillisecondsSinceAnswer() const;
+  Duration DrawPollWait();
   void AbandonWait();
   void RecordRowVersions(const TableRows& rows);
   void SetAvailable(bool now_available);
@@ -97,6 +97,9 @@
   Duration retry_pause = kFirstRetryPause;
   Duration max_retry_pause = kMaxRetryPause;
   bool is_pausing_after_failure = false;
+  std::optional<PollTurn> poll_turn;
+  // The last poll ended without changes.
+  bool was_poll_quiet = false;
   bool stopped = false;
 };
 
@@ -208,12 +211,20 @@
       .count();
 }
 
+Duration TableFollower::State::DrawPollWait() {
+  const bool was_quiet = std::exchange(this->was_poll_quiet, false);
+  if (this->available == false) {
+    return kPollWaitAfterFailure;
+  }
+  if (this->poll_turn) {
+    return PollWait(*this->poll_turn, !was_quiet);
+  }
+  return kMinPollWait + std::chrono::duration_cast<Duration>(
+                            kPollWaitSpread * this->random.Fraction());
+}
+
 net::awaitable<void> TableFollower::State::ReadChanges() {
-  const Duration wait =
-      this->available == false
-          ? kPollWaitAfterFailure
-          : kMinPollWait + std::chrono::duration_cast<Duration>(
-                               kPollWaitSpread * this->random.Fraction());
+  const Duration wait = this->DrawPollWait();
   this->in_call = true;
   if (!this->gap_free_since) {
     this->gap_free_since = this->version;
@@ -248,6 +259,7 @@
     this->events.on_fetched(this->last_change, *changes);
   }
   this->Accept(*changes);
+  this->was_poll_quiet = changes->rows.empty();
   if (!changes->rows.empty()) {
     co_await this->Pause(kBatchPause);
   }
@@ -296,13 +308,16 @@
       .With("version", this->version.value_or(RowVersion()))
       .With("others_know", this->expected)
       .With("last_answer_ms_ago", this->MillisecondsSinceAnswer());
+  // The store is asked on a new connection in any case: the relay may be
+  // missing because connections have gone silent, the one to the store among
+  // them.
+  this->store->Abort();
   if (this->awaits_relay) {
     this->is_behind = true;
     this->timer.cancel();
-    return;
+  } else {
+    this->wait_abandoned = true;
   }
-  this->wait_abandoned = true;
-  this->store->Abort();
 }
 
 void TableFollower::State::SetAvailable(bool now_available) {
@@ -386,6 +401,10 @@
   }
 }
 
+void TableFollower::SetPollTurn(std::optional<PollTurn> turn) {
+  this->state->poll_turn = turn;
+}
+
 void TableFollower::ApplyRelayed(RowVersion after, const TableRows& changes) {
   State& state = *this->state;
   const bool is_contiguous = !state.needs_whole && state.version &&
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -17,6 +17,7 @@
 #include <string>
 
 #include "src/clock.h"
+#include "src/poll_turn.h"
 #include "src/random_source.h"
 #include "src/row_store.h"
 
@@ -59,6 +60,8 @@
   // Sets whether another entry reads changes for this one. While it does, a
   // pending call runs on, but no new one is started.
   void SetReadByOthers(bool read_by_others);
+  // Sets the turn in which this entry's polls end, if it is a reader.
+  void SetPollTurn(std::optional<PollTurn> turn);
   // Applies changes read by another entry, complete since version `after`.
   // Ignored when they leave a gap or bring nothing new.
   void ApplyRelayed(RowVersion after, const TableRows& changes);
--- a/test/correctness/silent_connections_test.cc
+++ b/test/correctness/silent_connections_test.cc
@@ -1,6 +1,9 @@
 // Tests that entries follow the store although all connections that were open
 // to it have gone silent for good, while new ones work.
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
 #include "src/store_readers.h"
 #include "src/table_follower.h"
@@ -13,8 +16,9 @@
 
 using ReadResult = tl::expected<TableRows, RowStoreError>;
 
-// A store client whose connection can go silent. A call on it then ends only
-// when aborted, which closes the connection.
+// A store client whose connection can go silent. A call on it then ends when it
+// is aborted, or in error some time after the wait that it asks for; both close
+// the connection.
 class SeverableStore : public RowStore {
  public:
   // `table`: what the store holds; must outlive this object.
@@ -25,12 +29,12 @@
   bool IsInCall() const { return this->is_in_call; }
 
   net::awaitable<ReadResult> ReadTable(std::string /*table*/) override {
-    return this->AnswerOnceNewerThan(RowVersion());
+    return this->AnswerOnceNewerThan(RowVersion(), std::chrono::seconds(1));
   }
   net::awaitable<ReadResult> AwaitChanges(std::string /*table*/,
                                           RowVersion after,
-                                          Duration /*wait*/) override {
-    return this->AnswerOnceNewerThan(after);
+                                          Duration wait) override {
+    return this->AnswerOnceNewerThan(after, wait);
   }
   void Abort() override {
     this->is_silent = false;
@@ -47,18 +51,29 @@
   }
 
  private:
-  net::awaitable<ReadResult> AnswerOnceNewerThan(RowVersion after) {
+  static constexpr std::chrono::milliseconds kSlack{700};
+  static constexpr std::chrono::milliseconds kStep{5};
+
+  net::awaitable<ReadResult> AnswerOnceNewerThan(RowVersion after,
+                                                 Duration wait) {
     this->is_in_call = true;
+    const auto end = std::chrono::steady_clock::now() + wait;
     while (!this->is_aborted &&
            (this->is_silent || this->table.version <= after)) {
-      this->wake.expires_at(net::steady_timer::time_point::max());
+      const auto limit = this->is_silent ? end + kSlack : end;
+      if (std::chrono::steady_clock::now() >= limit) {
+        break;
+      }
+      this->wake.expires_after(kStep);
       co_await this->wake.async_wait(net::as_tuple(net::use_awaitable));
     }
     this->is_in_call = false;
-    if (std::exchange(this->is_aborted, false)) {
+    if (std::exchange(this->is_aborted, false) ||
+        std::exchange(this->is_silent, false)) {
       co_return tl::unexpected(RowStoreError::kUnknown);
     }
-    co_return this->table;
+    co_return this->table.version <= after ? TableRows{{}, this->table.version}
+                                           : this->table;
   }
 
   net::steady_timer wake;
@@ -140,5 +155,72 @@
   listener.AwaitVersion(RowVersion(9));
 }
 
+// How long an entry may be unaware of a change after a failure.
+constexpr std::chrono::seconds kUnaware{3};
+
+TableRows Table(std::uint64_t version) {
+  return {{{"a", "", RowVersion(version)}}, RowVersion(version)};
+}
+
+// Guards CONFIG and DRAIN: a change ended the polls of all readers at once, so
+// that none ended for seconds after it.
+TEST_CASE("soon after all connections have gone silent a reader calls anew") {
+  constexpr std::size_t kReaders = 6;
+  net::io_context context;
+  SeededRandom random(1);
+  TableRows table = Table(7);
+  std::vector<std::unique_ptr<Entry>> readers;
+  for (std::size_t i = 0; i < kReaders; ++i) {
+    readers.push_back(std::make_unique<Entry>(context, table, random));
+    readers.back()->follower.SetPollTurn(PollTurn{i, kReaders});
+  }
+  const auto all_poll_from = [&](RowVersion version) {
+    return std::all_of(readers.begin(), readers.end(), [&](const auto& each) {
+      return each->follower.Version() == version && each->store->IsInCall();
+    });
+  };
+  RunUntil(context, [&] { return all_poll_from(RowVersion(7)); });
+  table = Table(9);
+  RunUntil(context, [&] { return all_poll_from(RowVersion(9)); });
+
+  for (const auto& each : readers) {
+    each->store->Sever();
+  }
+  table = Table(11);
+  const auto severed_at = std::chrono::steady_clock::now();
+  RunUntil(context, [&] {
+    return std::any_of(readers.begin(), readers.end(), [](const auto& each) {
+      return each->follower.Version() == RowVersion(11);
+    });
+  });
+  CHECK(std::chrono::steady_clock::now() - severed_at < kUnaware);
+}
+
+// Guards CONFIG and DRAIN: a listener whose relay was lost polled on the
+// connection that had gone silent while it was not used.
+TEST_CASE(
+    "a listener that misses a change asks the store on a new connection") {
+  net::io_context context;
+  SeededRandom random(1);
+  TableRows table = Table(7);
+  Entry listener(context, table, random);
+  listener.follower.SetReadByOthers(true);
+  RunUntil(context, [&] {
+    return listener.follower.Version() == RowVersion(7) &&
+           !listener.store->IsInCall();
+  });
+  context.restart();
+  context.run_for(std::chrono::seconds(1));
+  REQUIRE_FALSE(listener.store->IsInCall());
+
+  listener.store->Sever();
+  table = Table(9);
+  const auto severed_at = std::chrono::steady_clock::now();
+  listener.follower.ExpectVersion(RowVersion(9));
+  RunUntil(context,
+           [&] { return listener.follower.Version() == RowVersion(9); });
+  CHECK(std::chrono::steady_clock::now() - severed_at < kUnaware);
+}
+
 }  // namespace
 }  // namespace acacia
--- a/test/correctness/store_readers_test.cc
+++ b/test/correctness/store_readers_test.cc
@@ -3,6 +3,8 @@
 #include "src/store_readers.h"
 
 #include <catch2/catch.hpp>
+#include <set>
+#include <utility>
 
 namespace acacia {
 namespace {
@@ -98,5 +100,48 @@
   CHECK(f.readers.RemoteDomainReaders(f.directory, f.now).empty());
 }
 
+TEST_CASE("every reader of the fleet has a turn of its own") {
+  const std::vector<std::pair<std::string, std::string>> members{
+      {"a0", "a"}, {"a1", "a"}, {"a2", "a"},
+      {"b0", "b"}, {"c0", "c"}, {"c1", "c"}};
+  std::set<std::size_t> turns;
+  for (const auto& [name, domain] : members) {
+    MemberDirectory directory(Member(name, domain));
+    for (const auto& [other, other_domain] : members) {
+      directory.Put(Member(other, other_domain));
+      directory.OnHeard(InstanceId(other), kStart);
+    }
+    const auto turn = StoreReaders(InstanceId(name)).Turn(directory, kStart);
+    REQUIRE(turn.has_value() == (name != "a2"));
+    if (turn) {
+      CHECK(turn->count == 5);
+      turns.insert(turn->index);
+    }
+  }
+  CHECK(turns == std::set<std::size_t>{0, 1, 2, 3, 4});
+}
+
+TEST_CASE("an entry that knows of no others has all turns") {
+  const MemberDirectory directory(Member("a2", "a"));
+  CHECK(StoreReaders(InstanceId("a2")).Turn(directory, kStart) ==
+        PollTurn{0, 1});
+}
+
+TEST_CASE("polls return to their turns after a change, and keep them") {
+  for (std::size_t count = 1; count <= kMaxPollTurns; ++count) {
+    std::set<Duration> ends;
+    for (std::size_t index = 0; index < count; ++index) {
+      const Duration first = PollWait({index, count}, true);
+      ends.insert(first);
+      CHECK(PollWait({index, count}, false) ==
+            kPollTurnInterval * static_cast<int>(count));
+      CHECK(first <= kPollTurnInterval * static_cast<int>(count));
+    }
+    CHECK(ends.size() == count);
+  }
+  CHECK(PollWait({40, 60}, true) <= kPollTurnInterval * kMaxPollTurns);
+  CHECK(PollWait({40, 60}, false) == kPollTurnInterval * kMaxPollTurns);
+}
+
 }  // namespace
 }  // namespace acacia
