Bound what the store and other entries can make an entry hold

The report is of an endpoint whose answer has no end: the machine that called it kept all of it and ended. Here answers of the store were kept up to 64 MB each and parsed into several times as much, and frames of peers up to 64 MB for each of 256 connections, the first one, which holds an address, included.

--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t kSmallFleetEntries = 128;
 // A failure domain has up to a hundred entries.
 constexpr std::size_t kMaxConnections = 128;
+// Reports about all backend servers, or relayed changes, fit in.
+constexpr std::size_t kMaxEntryFrameBytes = 256 * 1024;
 
 // Whether two selections of the same reports are equal.
 bool HaveSameSubjects(const OutcomeReports& a, const OutcomeReports& b) {
@@ -50,6 +52,7 @@
 PeerTransportOptions TransportOptions() {
   PeerTransportOptions options;
   options.max_outgoing_connections = kMaxConnections;
+  options.max_frame_bytes = kMaxEntryFrameBytes;
   return options;
 }
 
--- a/src/framed_stream.cc
+++ b/src/framed_stream.cc
@@ -21,7 +21,8 @@
 }  // namespace
 
 net::awaitable<tl::expected<std::string, FrameError>> ReadFrame(
-    net::ip::tcp::socket& socket) {
+    net::ip::tcp::socket& socket,
+    std::size_t max_bytes) {
   Header header;
   const auto [header_error, header_read] =
       co_await net::async_read(socket, net::buffer(header), kAwait);
@@ -29,7 +30,7 @@
     co_return tl::unexpected(FrameError::kClosed);
   }
   const std::uint32_t length = boost::endian::load_little_u32(header.data());
-  if (length > kMaxFrameBytes) {
+  if (length > max_bytes) {
     co_return tl::unexpected(FrameError::kTooLarge);
   }
   std::string bytes;
--- a/src/framed_stream.h
+++ b/src/framed_stream.h
@@ -17,9 +17,10 @@
 inline constexpr std::size_t kMaxFrameBytes = 64 * 1024 * 1024;
 
 // Returns the bytes of the next frame. kTooLarge: the announced length exceeds
-// kMaxFrameBytes. kClosed: the stream ended or failed.
+// `max_bytes`. kClosed: the stream ended or failed.
 boost::asio::awaitable<tl::expected<std::string, FrameError>> ReadFrame(
-    boost::asio::ip::tcp::socket& socket);
+    boost::asio::ip::tcp::socket& socket,
+    std::size_t max_bytes = kMaxFrameBytes);
 
 // Only one write per socket may run at a time; the calling code keeps
 // frames in order.
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -24,7 +24,6 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(600);
 constexpr Duration kUserTimeout = std::chrono::seconds(3);
 constexpr KeepAliveProbes kShortProbes{1, 1, 2};
-constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
 
 http::request<http::string_body> ToBeast(HttpRequest& request,
                                          const std::string& host) {
@@ -55,6 +54,7 @@
 
 struct HttpClient::State {
   std::string address;
+  std::uint64_t max_body_bytes = 0;
   std::optional<beast::tcp_stream> stream;
   beast::flat_buffer buffer{kMaxUnparsedHttpBytes};
 
@@ -79,8 +79,10 @@
   co_return !error;
 }
 
-HttpClient::HttpClient(std::string address) : state(std::make_unique<State>()) {
+HttpClient::HttpClient(std::string address, std::uint64_t max_body_bytes)
+    : state(std::make_unique<State>()) {
   this->state->address = std::move(address);
+  this->state->max_body_bytes = max_body_bytes;
 }
 
 HttpClient::~HttpClient() = default;
@@ -112,7 +114,7 @@
     co_return tl::unexpected(HttpClientError::kNoReply);
   }
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxBodyBytes);
+  parser.body_limit(state.max_body_bytes);
   const auto [read_error, read] =
       co_await http::async_read(*state.stream, state.buffer, parser, kAwait);
   if (read_error) {
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -4,6 +4,7 @@
 #define SRC_HTTP_CLIENT_H_
 
 #include <boost/asio/awaitable.hpp>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
@@ -25,7 +26,11 @@
 // the connection since the last request.
 class HttpClient {
  public:
-  explicit HttpClient(std::string address);
+  static constexpr std::uint64_t kMaxBodyBytes = 64 * 1024 * 1024;
+
+  // A reply with a longer body than `max_body_bytes` counts as none.
+  explicit HttpClient(std::string address,
+                      std::uint64_t max_body_bytes = kMaxBodyBytes);
   ~HttpClient();
   HttpClient(HttpClient&&) noexcept;
   HttpClient& operator=(HttpClient&&) noexcept;
--- a/src/peer_transport.cc
+++ b/src/peer_transport.cc
@@ -65,7 +65,8 @@
   net::awaitable<void> Accept();
   net::awaitable<void> Receive(std::shared_ptr<Tcp::socket> socket);
   net::awaitable<tl::expected<std::string, FrameError>> ReadFrameWithTimeout(
-      std::shared_ptr<Tcp::socket> socket);
+      std::shared_ptr<Tcp::socket> socket,
+      std::size_t max_bytes);
 
   std::shared_ptr<Outgoing> Connection(const PeerAddress& to);
   net::awaitable<void> Transmit(PeerAddress to,
@@ -204,8 +205,8 @@
 }
 
 net::awaitable<tl::expected<std::string, FrameError>>
-PeerTransport::State::ReadFrameWithTimeout(
-    std::shared_ptr<Tcp::socket> socket) {
+PeerTransport::State::ReadFrameWithTimeout(std::shared_ptr<Tcp::socket> socket,
+                                           std::size_t max_bytes) {
   net::steady_timer timeout(this->executor);
   timeout.expires_after(this->options.receive_timeout);
   timeout.async_wait([socket](const ErrorCode& error) {
@@ -214,7 +215,7 @@
       socket->close(ignored);
     }
   });
-  auto frame = co_await ReadFrame(*socket);
+  auto frame = co_await ReadFrame(*socket, max_bytes);
   if (!frame && frame.error() == FrameError::kTooLarge) {
     ++this->counters.malformed;
   }
@@ -223,17 +224,19 @@
 
 net::awaitable<void> PeerTransport::State::Receive(
     std::shared_ptr<Tcp::socket> socket) {
-  const auto hello = co_await this->ReadFrameWithTimeout(socket);
+  const auto hello =
+      co_await this->ReadFrameWithTimeout(socket, kMaxAddressBytes);
   if (!hello) {
     co_return;
   }
-  if (hello->size() > kMaxAddressBytes || !ParseSocketAddress(*hello)) {
+  if (!ParseSocketAddress(*hello)) {
     ++this->counters.malformed;
     co_return;
   }
   const PeerAddress from(*hello);
   for (;;) {
-    const auto frame = co_await this->ReadFrameWithTimeout(socket);
+    const auto frame = co_await this->ReadFrameWithTimeout(
+        socket, this->options.max_frame_bytes);
     if (!frame || this->stopped) {
       co_return;
     }
--- a/src/peer_transport.h
+++ b/src/peer_transport.h
@@ -17,6 +17,7 @@
 #include <tl/expected.hpp>
 
 #include "src/clock.h"
+#include "src/framed_stream.h"
 #include "src/ids.h"
 
 namespace acacia {
@@ -25,6 +26,8 @@
   std::size_t max_outgoing_connections = 64;
   std::size_t max_incoming_connections = 256;
   std::size_t max_queued_bytes_per_peer = 64 * 1024 * 1024;
+  // A connection that announces a longer frame is closed.
+  std::size_t max_frame_bytes = kMaxFrameBytes;
   Duration connect_timeout = std::chrono::seconds(2);
   // The sender closes a connection that carried no frame for this long.
   Duration idle_timeout = std::chrono::seconds(30);
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -494,6 +494,60 @@
   CHECK(entry.IsReady());
 }
 
+// Guards FAULT and LOST: answers of the store were kept up to 64 MB each, and
+// were parsed into several times as much.
+TEST_CASE("Endless answers of the store stay within the entry's memory") {
+  constexpr std::size_t kMemoryMb = 260;
+  constexpr int kAnswers = 24;
+  HostEntry entry(Echo);
+  entry.Start();
+  entry.AwaitReady();
+  entry.store.SetTrouble(HostStore::Trouble::kEndless);
+  // Polls end, and the next calls meet the trouble.
+  entry.store.Put("servers", "i-3", "odd");
+  entry.store.Put("op", "other", "odd");
+  Await("endless answers", [&] {
+    return entry.process->HasEnded() || entry.store.CutAnswers() >= kAnswers;
+  });
+  CHECK_FALSE(entry.process->HasEnded());
+  CHECK(PeakMemory(*entry.process) < kMemoryMb);
+  TextStream caller = entry.Connect();
+  caller.Send(HostEntry::Head("r", 2) + "hi");
+  CHECK(StatusOf(caller.ReadMessage()) == 200);
+}
+
+// Guards FAULT and LOST: frames of peers were kept up to 64 MB each.
+TEST_CASE("Endless frames of peers stay within the entry's memory") {
+  constexpr std::size_t kMemoryMb = 260;
+  constexpr std::size_t kPeers = 32;
+  constexpr std::size_t kMuch = 16 * 1024 * 1024;
+  const std::string length(4, '\3');
+  const std::string address = "127.0.0.1:9";
+  const std::string hello = std::string("\x0b\0\0\0", 4) + address;
+  const std::string piece(64 * 1024, '0');
+  HostEntry entry(Echo);
+  entry.Start();
+  entry.AwaitReady();
+  for (const std::string& beginning : {length, hello + length}) {
+    std::vector<TextStream> peers;
+    for (std::size_t i = 0; i < kPeers; ++i) {
+      peers.push_back(entry.ConnectTo(entry.peers));
+      peers.back().Send(beginning);
+      bool is_open = true;
+      for (std::size_t sent = 0; is_open && sent < kMuch;
+           sent += piece.size()) {
+        is_open = peers.back().Send(piece);
+      }
+    }
+  }
+  AwaitIdle(*entry.process);
+  CHECK_FALSE(entry.process->HasEnded());
+  CHECK(PeakMemory(*entry.process) < kMemoryMb);
+  TextStream caller = entry.Connect();
+  caller.Send(HostEntry::Head("r", 2) + "hi");
+  CHECK(StatusOf(caller.ReadMessage()) == 200);
+}
+
 // Changes, adds or removes some bytes.
 std::string Mutate(std::string bytes, SeededRandom& random) {
   const std::uint64_t changes = 1 + random.Below(4);
