--- a/test/correctness/soak_check_test.cc
+++ b/test/correctness/soak_check_test.cc
@@ -181,6 +181,18 @@
           leave(17000)(history);
           history.events.push_back(Event(Kind::kStoreAway, 18000, -1));
         }).empty());
+  // Cut off from the store, and again in touch for long enough.
+  const auto cut = [&](int at, int joined_at, int entry) {
+    return Broken([=](SoakHistory& history) {
+      leave(17000)(history);
+      history.events.push_back(Event(Kind::kStoreCut, at, entry));
+      history.events.push_back(Event(Kind::kStoreJoined, joined_at, entry));
+    });
+  };
+  CHECK(cut(16000, 30000, 0).empty());
+  CHECK(cut(16000, 17100, 0).empty());
+  CHECK(cut(16000, 16900, 0) == Rules{"DRAIN"});
+  CHECK(cut(16000, 30000, 1) == Rules{"DRAIN"});
 }
 
 TEST_CASE("A soak notices requests handled by an older configuration") {
--- a/test/soak_check.h
+++ b/test/soak_check.h
@@ -356,6 +356,8 @@
         continue;
       }
       const bool excused =
+          !this->IsStoreReachable(call->second->entry, run.begun - kStable,
+                                  run.begun) ||
           std::any_of(this->history.events.begin(), this->history.events.end(),
                       [&](const SoakEvent& event) {
                         const bool store = event.kind == Kind::kStoreAway ||
