--- a/test/host_store.h
+++ b/test/host_store.h
@@ -3,7 +3,6 @@
 #define TEST_HOST_STORE_H_
 
 #include <algorithm>
-#include <array>
 #include <atomic>
 #include <boost/json.hpp>
 #include <chrono>
@@ -18,6 +17,7 @@
 #include <vector>
 
 #include "src/base64.h"
+#include "test/endless_answers.h"
 #include "test/proxy_fixture.h"
 
 namespace acacia {
@@ -65,6 +65,7 @@
   ~HostStore() {
     const std::lock_guard lock(this->mutex);
     this->stopping = true;
+    this->endless_answers.Stop();
     this->changed.notify_all();
   }
   HostStore(const HostStore&) = delete;
@@ -96,7 +97,7 @@
   // From now on a connection on which a row was written gets no more answers.
   void SilenceWriters() { this->silences_writers = true; }
   // How many endless answers have been cut off.
-  int CutAnswers() const { return this->cut_answers; }
+  int CutAnswers() const { return this->endless_answers.Cut(); }
   bool HasRemovedRow() const { return this->has_removed_row; }
   void Put(const std::string& table,
            const std::string& key,
@@ -260,35 +261,6 @@
            (this->trouble == Trouble::kLossy && ++this->answers % 10 < 3);
   }
 
-  // An answer without an end, or one that is far longer than any should be, in
-  // one of several forms.
-  void SendEndlessly(TextStream& stream) {
-    static constexpr std::size_t kPieceBytes = 64 * 1024;
-    static constexpr std::size_t kManyBytes = 60000000;
-    static constexpr std::array<const char*, 4> kBeginnings{
-        "X-Long: ", "\r\n{\"ver\":[0", "Transfer-Encoding: chunked\r\n\r\n",
-        "Content-Length: 60000000\r\n\r\n{\"ver\":[0"};
-    const auto form =
-        static_cast<std::size_t>(++this->endless_answers) % kBeginnings.size();
-    const bool is_chunked = form == 2;
-    std::string piece;
-    while (piece.size() < kPieceBytes) {
-      piece += ",0";
-    }
-    if (is_chunked) {
-      piece = "10000\r\n" + piece + "\r\n";
-    }
-    bool is_open =
-        stream.Send(std::string("HTTP/1.1 200 OK\r\n") + kBeginnings[form]);
-    const bool has_length = form == 3;
-    for (std::size_t sent = 0;
-         is_open && !this->stopping && !(has_length && sent > kManyBytes);
-         sent += piece.size()) {
-      is_open = stream.Send(piece);
-    }
-    ++this->cut_answers;
-  }
-
   // Returns false if the connection ends.
   bool PlayTrouble(TextStream& stream) {
     std::unique_lock lock(this->mutex);
@@ -303,11 +275,11 @@
         return false;
       case Trouble::kSlow:
         this->changed.wait_for(lock, std::chrono::milliseconds(1200),
-                               [this] { return this->stopping.load(); });
+                               [this] { return this->stopping; });
         return true;
       case Trouble::kEndless:
         lock.unlock();
-        this->SendEndlessly(stream);
+        this->endless_answers.Send(stream);
         return false;
       case Trouble::kGarbled:
         stream.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"ver\": -");
@@ -340,9 +312,8 @@
   mutable std::mutex mutex;
   std::condition_variable changed;
   Trouble trouble = Trouble::kNone;
-  std::atomic<bool> stopping{false};
-  std::atomic<int> endless_answers{0};
-  std::atomic<int> cut_answers{0};
+  bool stopping = false;
+  EndlessAnswers endless_answers;
   std::atomic<bool> silences_writers{false};
   std::atomic<bool> has_removed_row{false};
   Copy now;
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -371,17 +371,6 @@
   });
 }
 
-// In megabytes, since the process began.
-std::size_t PeakMemory(const Process& process) {
-  std::ifstream status("/proc/" + std::to_string(process.Pid()) + "/status");
-  std::string word;
-  while (status >> word && word != "VmHWM:") {
-  }
-  std::size_t kilobytes = 0;
-  status >> kilobytes;
-  return kilobytes / 1024;
-}
-
 // Guards FAULT and LOST: uploads that came at once took more memory than the
 // process may use.
 TEST_CASE("Uploads that come at once stay within the entry's memory") {
@@ -428,7 +417,7 @@
   CHECK(refused > 0);
   CHECK(served + refused == static_cast<int>(kUploads));
   CHECK_FALSE(entry.process->HasEnded());
-  CHECK(PeakMemory(*entry.process) < kMemoryMb);
+  CHECK(entry.process->PeakMemoryMb() < kMemoryMb);
   // What was held is free again.
   TextStream caller = entry.Connect();
   caller.Send(HostEntry::Head("after", body.size()) + body);
@@ -510,7 +499,7 @@
     return entry.process->HasEnded() || entry.store.CutAnswers() >= kAnswers;
   });
   CHECK_FALSE(entry.process->HasEnded());
-  CHECK(PeakMemory(*entry.process) < kMemoryMb);
+  CHECK(entry.process->PeakMemoryMb() < kMemoryMb);
   TextStream caller = entry.Connect();
   caller.Send(HostEntry::Head("r", 2) + "hi");
   CHECK(StatusOf(caller.ReadMessage()) == 200);
@@ -542,7 +531,7 @@
   }
   AwaitIdle(*entry.process);
   CHECK_FALSE(entry.process->HasEnded());
-  CHECK(PeakMemory(*entry.process) < kMemoryMb);
+  CHECK(entry.process->PeakMemoryMb() < kMemoryMb);
   TextStream caller = entry.Connect();
   caller.Send(HostEntry::Head("r", 2) + "hi");
   CHECK(StatusOf(caller.ReadMessage()) == 200);
--- a/test/process_fleet.h
+++ b/test/process_fleet.h
@@ -125,6 +125,16 @@
     waitpid(std::exchange(this->pid, 0), &status, 0);
     return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   }
+  // In megabytes, since the process began.
+  std::size_t PeakMemoryMb() const {
+    std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
+    std::string word;
+    while (status >> word && word != "VmHWM:") {
+    }
+    std::size_t kilobytes = 0;
+    status >> kilobytes;
+    return kilobytes / 1024;
+  }
   std::string Log() const {
     std::ifstream in(this->log);
     return {std::istreambuf_iterator<char>(in), {}};
