--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <vector>
@@ -78,12 +79,12 @@
   // Updates this entry's role from the entries heard recently.
   void UpdateRole();
   ReaderRole Role() const { return this->role; }
-  // Returns whether another entry reads all changes after this version for this
-  // one.
   // The turn of this entry's polls; nullopt for a listener.
   std::optional<PollTurn> Turn() const {
     return this->readers.Turn(this->directory, this->clock.Now());
   }
+  // Returns whether another entry reads all changes after this version for this
+  // one.
   bool IsReadByOthers(FollowedTable table, RowVersion after) const;
 
  private:
--- a/test/integration/process_soak_test.cc
+++ b/test/integration/process_soak_test.cc
@@ -471,33 +471,47 @@
     });
   }
 
+  struct StoreTrouble {
+    HostStore::Trouble kind;
+    // The store comes back from a copy that was made before the trouble.
+    bool restores = false;
+  };
+
   void TroubleStore() {
     using Trouble = HostStore::Trouble;
-    constexpr std::array<Trouble, 7> kTroubles{
-        Trouble::kAway,  Trouble::kSlow, Trouble::kGarbled, Trouble::kSilent,
-        Trouble::kLossy, Trouble::kDeaf, Trouble::kAway};
+    constexpr std::array<StoreTrouble, 7> kTroubles{{{Trouble::kAway},
+                                                     {Trouble::kSlow},
+                                                     {Trouble::kGarbled},
+                                                     {Trouble::kSilent},
+                                                     {Trouble::kLossy},
+                                                     {Trouble::kDeaf},
+                                                     {Trouble::kAway, true}}};
     const int choice = this->Draw(static_cast<int>(kTroubles.size()));
-    const Trouble trouble = kTroubles.at(static_cast<std::size_t>(choice));
-    const bool restores = choice + 1 == static_cast<int>(kTroubles.size());
+    const StoreTrouble trouble = kTroubles.at(static_cast<std::size_t>(choice));
     const auto copy = std::make_shared<HostStore::Copy>(this->store.Now());
-    this->After(SoakTime(restores ? this->DrawTime(500, 6000) : SoakTime(0)),
-                [this, trouble, restores, copy] {
-                  if (this->store_away) {
-                    return;
-                  }
-                  this->store_away = true;
-                  this->takes_writes =
-                      trouble == Trouble::kLossy || trouble == Trouble::kDeaf;
-                  this->Note(Kind::kStoreAway);
-                  this->store.SetTrouble(trouble);
-                  this->After(this->DrawTime(500, 4000),
-                              [this, trouble, restores, copy] {
-                                if (restores) {
-                                  this->Restore(*copy);
-                                }
-                                this->EndTrouble(trouble);
-                              });
-                });
+    const SoakTime delay =
+        trouble.restores ? this->DrawTime(500, 6000) : SoakTime(0);
+    this->After(delay, [this, trouble, copy] {
+      if (!this->store_away) {
+        this->BeginTrouble(trouble, copy);
+      }
+    });
+  }
+
+  void BeginTrouble(StoreTrouble trouble,
+                    const std::shared_ptr<HostStore::Copy>& copy) {
+    using Trouble = HostStore::Trouble;
+    this->store_away = true;
+    this->takes_writes =
+        trouble.kind == Trouble::kLossy || trouble.kind == Trouble::kDeaf;
+    this->Note(Kind::kStoreAway);
+    this->store.SetTrouble(trouble.kind);
+    this->After(this->DrawTime(500, 4000), [this, trouble, copy] {
+      if (trouble.restores) {
+        this->Restore(*copy);
+      }
+      this->EndTrouble(trouble.kind);
+    });
   }
 
   void EndTrouble(HostStore::Trouble ended) {
@@ -587,7 +601,7 @@
     });
     repeat(6000, 15000, [this] { this->SilenceStore(); });
     repeat(5000, 15000, [this] {
-      // Those that are harmed in other ways too.
+      // Entries whose number divides by three, which are harmed otherwise too.
       const int third = (static_cast<int>(this->entries.size()) + 2) / 3;
       this->CutFromStore(
           *std::next(this->entries.begin(), 3 * this->Draw(third)));
