Derive the readers' turns once a tick, and join what tests said twice

Found on reading the change again; no bound, check or behaviour differs.

EntryPeers knows its role already: Turn takes it rather than ranking the peers once more on each tick, and counts first and second readers by position in one map. HttpClient connects anew through the condition that it had, without a second one before it.

In the tests: SoakClient holds what callers and questioners share, SoakCheck's DRAIN and CONFIG ask one function for an entry's own events, the forms of endless answers say what they are instead of being known by number, the tests of endless bytes send and ask through one function each, and the store's stand-in no longer copies a table for each reading.

--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -81,7 +81,7 @@
   ReaderRole Role() const { return this->role; }
   // The turn of this entry's polls; nullopt for a listener.
   std::optional<PollTurn> Turn() const {
-    return this->readers.Turn(this->directory, this->clock.Now());
+    return StoreReaders::Turn(this->role, this->directory);
   }
   // Returns whether another entry reads all changes after this version for this
   // one.
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -99,10 +99,8 @@
     HttpRequest request,
     Duration timeout) {
   State& state = *this->state;
-  if (state.stream && !state.stream->socket().is_open()) {
-    state.stream.reset();
-  }
-  if (!state.stream && !co_await state.Connect(timeout)) {
+  const bool is_open = state.stream && state.stream->socket().is_open();
+  if (!is_open && !co_await state.Connect(timeout)) {
     co_return tl::unexpected(HttpClientError::kNotSent);
   }
   auto out = ToBeast(request, state.address);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -41,7 +41,8 @@
       HttpRequest request,
       Duration timeout);
 
-  // Closes the connection. A pending Send ends with kNoReply.
+  // Closes the connection. A pending Send ends with kNoReply; the next one
+  // opens another.
   void Abort();
 
  private:
--- a/src/store_readers.cc
+++ b/src/store_readers.cc
@@ -1,6 +1,7 @@
 #include "src/store_readers.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace acacia {
 
@@ -22,34 +23,30 @@
 
 // First readers take their turns before second ones, in the order of their
 // failure domains' names.
-std::optional<PollTurn> StoreReaders::Turn(const MemberDirectory& directory,
-                                           TimePoint now) const {
-  const ReaderRole role = this->Role(directory, now);
+std::optional<PollTurn> StoreReaders::Turn(ReaderRole role,
+                                           const MemberDirectory& directory) {
   if (role == ReaderRole::kListener) {
     return std::nullopt;
   }
-  std::map<std::string, std::size_t> domain_sizes;
-  ++domain_sizes[directory.SelfDomain()];
+  std::map<std::string, std::size_t> sizes;
+  ++sizes[directory.SelfDomain()];
   for (const auto& [instance, member] : directory.Members()) {
-    if (instance != this->self) {
-      ++domain_sizes[member.failure_domain];
+    if (instance != directory.Self()) {
+      ++sizes[member.failure_domain];
     }
   }
-  std::size_t seconds = 0;
-  std::size_t earlier_firsts = 0;
-  std::size_t earlier_seconds = 0;
-  for (const auto& [domain, size] : domain_sizes) {
-    if (domain == directory.SelfDomain()) {
-      earlier_seconds = seconds;
-    } else if (domain < directory.SelfDomain()) {
-      ++earlier_firsts;
-    }
-    seconds += size > 1 ? 1 : 0;
-  }
-  const std::size_t firsts = domain_sizes.size();
+  const auto count_seconds = [&sizes](auto end) {
+    return std::count_if(sizes.begin(), end,
+                         [](const auto& item) { return item.second > 1; });
+  };
+  const auto own = sizes.find(directory.SelfDomain());
+  const auto firsts = static_cast<std::ptrdiff_t>(sizes.size());
+  const auto index = role == ReaderRole::kFirst
+                         ? std::distance(sizes.begin(), own)
+                         : firsts + count_seconds(own);
   return PollTurn{
-      role == ReaderRole::kFirst ? earlier_firsts : firsts + earlier_seconds,
-      firsts + seconds};
+      static_cast<std::size_t>(index),
+      static_cast<std::size_t>(firsts + count_seconds(sizes.end()))};
 }
 
 void StoreReaders::OnReadClaim(const InstanceId& from,
--- a/src/store_readers.h
+++ b/src/store_readers.h
@@ -47,10 +47,11 @@
 
   ReaderRole Role(const MemberDirectory& directory, TimePoint now) const;
 
-  // The turn of this entry, if it is a reader, among the readers of all failure
-  // domains. Entries that know different members may take the same turn.
-  std::optional<PollTurn> Turn(const MemberDirectory& directory,
-                               TimePoint now) const;
+  // The turn of an entry with this role among the readers of all failure
+  // domains; nullopt for a listener. Entries that know different members may
+  // take the same turn.
+  static std::optional<PollTurn> Turn(ReaderRole role,
+                                      const MemberDirectory& directory);
 
   // Records the versions since which the entry `from` has read each table
   // without a gap; 0 for a table that it does not read. All 0 withdraws its
--- a/test/correctness/store_readers_test.cc
+++ b/test/correctness/store_readers_test.cc
@@ -111,7 +111,8 @@
       directory.Put(Member(other, other_domain));
       directory.OnHeard(InstanceId(other), kStart);
     }
-    const auto turn = StoreReaders(InstanceId(name)).Turn(directory, kStart);
+    const auto turn = StoreReaders::Turn(
+        StoreReaders(InstanceId(name)).Role(directory, kStart), directory);
     REQUIRE(turn.has_value() == (name != "a2"));
     if (turn) {
       CHECK(turn->count == 5);
@@ -123,8 +124,9 @@
 
 TEST_CASE("an entry that knows of no others has all turns") {
   const MemberDirectory directory(Member("a2", "a"));
-  CHECK(StoreReaders(InstanceId("a2")).Turn(directory, kStart) ==
-        PollTurn{0, 1});
+  const ReaderRole role =
+      StoreReaders(InstanceId("a2")).Role(directory, kStart);
+  CHECK(StoreReaders::Turn(role, directory) == PollTurn{0, 1});
 }
 
 TEST_CASE("polls return to their turns after a change, and keep them") {
--- a/test/endless_answers.h
+++ b/test/endless_answers.h
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <atomic>
+#include <limits>
 #include <string>
 
 #include "test/proxy_fixture.h"
@@ -17,26 +18,32 @@
   // one of several forms in turn, until the connection is closed or Stop is
   // called.
   void Send(TextStream& stream) {
+    struct Form {
+      const char* beginning;
+      std::size_t length;
+      bool is_chunked = false;
+    };
     static constexpr std::size_t kPieceBytes = 64 * 1024;
-    static constexpr std::size_t kManyBytes = 60000000;
-    static constexpr std::array<const char*, 4> kBeginnings{
-        "X-Long: ", "\r\n{\"ver\":[0", "Transfer-Encoding: chunked\r\n\r\n",
-        "Content-Length: 60000000\r\n\r\n{\"ver\":[0"};
-    const auto form =
-        static_cast<std::size_t>(++this->begun) % kBeginnings.size();
-    const bool is_chunked = form == 2;
-    const bool has_length = form == 3;
+    static constexpr std::size_t kEndless =
+        std::numeric_limits<std::size_t>::max();
+    static constexpr std::array<Form, 4> kForms{
+        {{"X-Long: ", kEndless},
+         {"\r\n{\"ver\":[0", kEndless},
+         {"Transfer-Encoding: chunked\r\n\r\n", kEndless, true},
+         {"Content-Length: 60000000\r\n\r\n{\"ver\":[0", 60000000}}};
+    const Form& form =
+        kForms.at(static_cast<std::size_t>(++this->begun) % kForms.size());
     std::string piece;
     while (piece.size() < kPieceBytes) {
       piece += ",0";
     }
-    if (is_chunked) {
+    if (form.is_chunked) {
       piece = "10000\r\n" + piece + "\r\n";
     }
     bool is_open =
-        stream.Send(std::string("HTTP/1.1 200 OK\r\n") + kBeginnings[form]);
+        stream.Send(std::string("HTTP/1.1 200 OK\r\n") + form.beginning);
     for (std::size_t sent = 0;
-         is_open && !this->stopping && !(has_length && sent > kManyBytes);
+         is_open && !this->stopping && sent <= form.length;
          sent += piece.size()) {
       is_open = stream.Send(piece);
     }
--- a/test/host_store.h
+++ b/test/host_store.h
@@ -105,10 +105,10 @@
     const std::lock_guard lock(this->mutex);
     this->Write(table, key, EncodeBase64(value), false);
   }
-  std::vector<std::string> Keys(const std::string& table) {
+  std::vector<std::string> Keys(const std::string& table) const {
     const std::lock_guard lock(this->mutex);
     std::vector<std::string> keys;
-    for (const auto& [key, row] : this->now.tables[table]) {
+    for (const auto& [key, row] : TableIn(this->now, table)) {
       if (!row.removed) {
         keys.push_back(key);
       }
@@ -144,6 +144,12 @@
     return std::regex_search(request, match, pattern) ? match[1].str() : "";
   }
 
+  static const Table& TableIn(const Copy& copy, const std::string& table) {
+    static const Table empty;
+    const auto found = copy.tables.find(table);
+    return found == copy.tables.end() ? empty : found->second;
+  }
+
   // The rows that whole readings show.
   const Copy& Readable() const {
     if (this->trouble == Trouble::kStale) {
@@ -169,9 +175,7 @@
                           std::int64_t after,
                           bool removed) {
     boost::json::array rows;
-    const auto found = copy.tables.find(table);
-    for (const auto& [key, row] :
-         found == copy.tables.end() ? Table() : found->second) {
+    for (const auto& [key, row] : TableIn(copy, table)) {
       if (row.version <= after || (row.removed && !removed)) {
         continue;
       }
@@ -191,8 +195,8 @@
                                                       {"rows", rows}});
   }
 
-  bool HasNews(const std::string& table, std::int64_t after) {
-    const Table& rows = this->now.tables[table];
+  bool HasNews(const std::string& table, std::int64_t after) const {
+    const Table& rows = TableIn(this->now, table);
     return std::any_of(rows.begin(), rows.end(), [after](const auto& row) {
       return row.second.version > after;
     });
--- a/test/integration/entry_process_test.cc
+++ b/test/integration/entry_process_test.cc
@@ -455,6 +455,22 @@
   CHECK(is_served(another, "another"));
 }
 
+int StatusOfSmallRequest(HostEntry& entry) {
+  TextStream caller = entry.Connect();
+  caller.Send(HostEntry::Head("after", 2) + "hi");
+  return StatusOf(caller.ReadMessage());
+}
+
+// Sends up to `size` bytes. Returns how many the peer has not refused to take.
+std::size_t SendMuch(TextStream& stream, std::size_t size) {
+  const std::string piece(64 * 1024, '0');
+  std::size_t sent = 0;
+  while (sent < size && stream.Send(piece)) {
+    sent += piece.size();
+  }
+  return sent;
+}
+
 // Guards FAULT: requests to the listeners for lookups and readiness were held
 // in memory up to 64 MB each, or without end.
 TEST_CASE("Endless requests to the small listeners are cut off") {
@@ -463,7 +479,6 @@
   entry.Start();
   entry.AwaitReady();
   const std::string post = "POST /x HTTP/1.1\r\nHost: h\r\n";
-  const std::string piece(64 * 1024, '0');
   for (const std::string& address : {entry.lookups, entry.readiness}) {
     for (const std::string& beginning :
          {post + "X-Long: ", post + "Content-Length: 60000000\r\n\r\n",
@@ -473,11 +488,7 @@
       INFO(beginning);
       TextStream caller = entry.ConnectTo(address);
       caller.Send(beginning);
-      std::size_t sent = 0;
-      while (sent < kMuch && caller.Send(piece)) {
-        sent += piece.size();
-      }
-      CHECK(sent < kMuch);
+      CHECK(SendMuch(caller, kMuch) < kMuch);
     }
   }
   CHECK(entry.IsReady());
@@ -500,9 +511,7 @@
   });
   CHECK_FALSE(entry.process->HasEnded());
   CHECK(entry.process->PeakMemoryMb() < kMemoryMb);
-  TextStream caller = entry.Connect();
-  caller.Send(HostEntry::Head("r", 2) + "hi");
-  CHECK(StatusOf(caller.ReadMessage()) == 200);
+  CHECK(StatusOfSmallRequest(entry) == 200);
 }
 
 // Guards FAULT and LOST: frames of peers were kept up to 64 MB each.
@@ -513,7 +522,6 @@
   const std::string length(4, '\3');
   const std::string address = "127.0.0.1:9";
   const std::string hello = std::string("\x0b\0\0\0", 4) + address;
-  const std::string piece(64 * 1024, '0');
   HostEntry entry(Echo);
   entry.Start();
   entry.AwaitReady();
@@ -522,19 +530,13 @@
     for (std::size_t i = 0; i < kPeers; ++i) {
       peers.push_back(entry.ConnectTo(entry.peers));
       peers.back().Send(beginning);
-      bool is_open = true;
-      for (std::size_t sent = 0; is_open && sent < kMuch;
-           sent += piece.size()) {
-        is_open = peers.back().Send(piece);
-      }
+      SendMuch(peers.back(), kMuch);
     }
   }
   AwaitIdle(*entry.process);
   CHECK_FALSE(entry.process->HasEnded());
   CHECK(entry.process->PeakMemoryMb() < kMemoryMb);
-  TextStream caller = entry.Connect();
-  caller.Send(HostEntry::Head("r", 2) + "hi");
-  CHECK(StatusOf(caller.ReadMessage()) == 200);
+  CHECK(StatusOfSmallRequest(entry) == 200);
 }
 
 // Changes, adds or removes some bytes.
@@ -616,9 +618,7 @@
     send_frame(Mutate(valid[random.Below(valid.size())], random));
   }
   AwaitIdle(*entry.process);
-  TextStream caller = entry.Connect();
-  caller.Send(HostEntry::Head("after", 2) + "hi");
-  CHECK(StatusOf(caller.ReadMessage()) == 200);
+  CHECK(StatusOfSmallRequest(entry) == 200);
   CHECK_FALSE(entry.process->HasEnded());
   CHECK(entry.IsReady());
 }
--- a/test/soak_check.h
+++ b/test/soak_check.h
@@ -292,20 +292,26 @@
     return disruptions == 0;
   }
 
+  // Whether, between the times, the entry was stopped, started, ended or
+  // harmed, or its connections to the store went silent.
+  bool HasOwnEvent(int entry, SoakTime from, SoakTime to) const {
+    return std::any_of(
+        this->history.events.begin(), this->history.events.end(),
+        [&](const SoakEvent& event) {
+          const bool concerns =
+              event.kind == Kind::kStoreSilence ||
+              (event.entry == entry && event.kind != Kind::kReload);
+          return concerns && event.at >= from && event.at <= to;
+        });
+  }
+
   // Whether the entry was in touch, from kStable before `from` until `to`: it
   // ran without a stop or start, and reached a sound store.
   bool IsInTouch(int entry, SoakTime from, SoakTime to) const {
     const SoakTime since = from - kStable;
     return !this->IsDisturbed(entry, since, to) &&
            this->IsStoreReachable(entry, since, to) &&
-           std::none_of(
-               this->history.events.begin(), this->history.events.end(),
-               [&](const SoakEvent& event) {
-                 const bool concerns =
-                     event.kind == Kind::kStoreSilence ||
-                     (event.entry == entry && event.kind != Kind::kReload);
-                 return concerns && event.at >= since && event.at <= to;
-               });
+           !this->HasOwnEvent(entry, since, to);
   }
 
   // The services that the configurations which may be in force for a request
@@ -355,20 +361,17 @@
           run.begun <= leaving.at + kDrain) {
         continue;
       }
+      const int entry = call->second->entry;
+      const SoakTime since = run.begun - kStable;
       const bool excused =
-          !this->IsStoreReachable(call->second->entry, run.begun - kStable,
-                                  run.begun) ||
+          !this->IsStoreReachable(entry, since, run.begun) ||
+          this->HasOwnEvent(entry, since, run.begun) ||
           std::any_of(this->history.events.begin(), this->history.events.end(),
                       [&](const SoakEvent& event) {
                         const bool store = event.kind == Kind::kStoreAway ||
                                            event.kind == Kind::kStoreBack;
-                        const bool own = event.kind == Kind::kStoreSilence ||
-                                         (event.entry == call->second->entry &&
-                                          event.kind != Kind::kReload);
-                        return (store && event.at >= leaving.at - kStable &&
-                                event.at <= run.begun) ||
-                               (own && event.at >= run.begun - kStable &&
-                                event.at <= run.begun);
+                        return store && event.at >= leaving.at - kStable &&
+                               event.at <= run.begun;
                       });
       if (!excused) {
         this->Report("DRAIN", *call->second,
--- a/test/soak_world.h
+++ b/test/soak_world.h
@@ -344,9 +344,50 @@
   return Field(answer.head, "Connection") == "close";
 }
 
+// Sends requests to one entry on one connection at a time.
+class SoakClient {
+ protected:
+  SoakClient(int entry,
+             std::string host,
+             std::uint16_t port,
+             std::string name,
+             SoakLedger& ledger)
+      : name(std::move(name)),
+        ledger(ledger),
+        entry(entry),
+        host(std::move(host)),
+        port(port) {}
+
+  bool IsConnected() {
+    return this->connection.IsOpen() ||
+           this->connection.Connect(this->host, this->port);
+  }
+  CallRecord NewCall() {
+    CallRecord call;
+    call.id = this->name + "-" + std::to_string(++this->count);
+    call.entry = this->entry;
+    call.kept_connection = this->connection.IsKept();
+    return call;
+  }
+  void End(CallRecord call) {
+    call.ended = this->ledger.Now();
+    this->ledger.Add(std::move(call));
+  }
+
+  const std::string name;
+  SoakLedger& ledger;
+  SoakConnection connection;
+
+ private:
+  const int entry;
+  const std::string host;
+  const std::uint16_t port;
+  int count = 0;
+};
+
 // Asks one entry for the routes that it is told, to find out which
 // configuration is in force there.
-class SoakQuestioner {
+class SoakQuestioner : private SoakClient {
  public:
   // `keeps_connection`: asks on one connection, not on a new one each time.
   SoakQuestioner(int entry,
@@ -356,12 +397,8 @@
                  bool keeps_connection,
                  SoakLedger& ledger,
                  SoakStopper& stopper)
-      : entry(entry),
-        host(std::move(host)),
-        port(port),
-        name(name),
+      : SoakClient(entry, std::move(host), port, name, ledger),
         keeps_connection(keeps_connection),
-        ledger(ledger),
         stopper(stopper),
         thread([this] { this->Run(); }) {}
   ~SoakQuestioner() { this->thread.join(); }
@@ -401,17 +438,13 @@
     if (!this->keeps_connection) {
       this->connection.Close();
     }
-    if (!this->connection.IsOpen() &&
-        !this->connection.Connect(this->host, this->port)) {
+    if (!this->IsConnected()) {
       return;
     }
-    CallRecord call;
-    call.id = this->name + "-" + std::to_string(++this->count);
-    call.entry = this->entry;
+    CallRecord call = this->NewCall();
     call.prefix = prefix;
     call.safe = true;
     call.deadline = kDeadline;
-    call.kept_connection = this->connection.IsKept();
     call.head_sent = this->ledger.Now();
     call.whole = this->connection.Send(SoakHead("GET", call, 0));
     call.last_byte = this->ledger.Now();
@@ -419,19 +452,11 @@
     if (is_last || call.end != CallRecord::End::kAnswered) {
       this->connection.Close();
     }
-    call.ended = this->ledger.Now();
-    this->ledger.Add(std::move(call));
+    this->End(std::move(call));
   }
 
-  const int entry;
-  const std::string host;
-  const std::uint16_t port;
-  const std::string name;
   const bool keeps_connection;
-  SoakLedger& ledger;
   SoakStopper& stopper;
-  SoakConnection connection;
-  int count = 0;
   std::mutex mutex;
   std::deque<std::string> waiting;
   std::thread thread;
@@ -439,7 +464,7 @@
 
 // Sends requests to one entry, one after the other, on a connection that it
 // keeps for as long as the entry does.
-class SoakCaller {
+class SoakCaller : private SoakClient {
  public:
   SoakCaller(int entry,
              std::string host,
@@ -447,11 +472,7 @@
              const std::string& name,
              SoakLedger& ledger,
              SoakStopper& stopper)
-      : entry(entry),
-        host(std::move(host)),
-        port(port),
-        name(name),
-        ledger(ledger),
+      : SoakClient(entry, std::move(host), port, name, ledger),
         stopper(stopper),
         random(static_cast<std::uint32_t>(std::hash<std::string>()(name))),
         ignores_close(this->Draw(3) == 0),
@@ -467,8 +488,7 @@
     // Some callers leave their connection unused for longer.
     const int pause = this->Draw(3) == 0 ? 3000 : 150;
     while (!this->stopper.Wait(std::chrono::milliseconds(this->Draw(pause)))) {
-      if (!this->connection.IsOpen() &&
-          !this->connection.Connect(this->host, this->port)) {
+      if (!this->IsConnected()) {
         this->stopper.Wait(std::chrono::milliseconds(50));
         continue;
       }
@@ -477,9 +497,7 @@
   }
 
   void Call() {
-    CallRecord call;
-    call.id = this->name + "-" + std::to_string(++this->count);
-    call.entry = this->entry;
+    CallRecord call = this->NewCall();
     const int kind = this->Draw(100);
     call.safe = kind < 45;
     const std::size_t size = call.safe   ? 0
@@ -490,7 +508,6 @@
     const std::size_t first = this->Draw(4) == 0 ? size / 2 : size;
     const std::chrono::milliseconds stop(first < size ? this->Draw(6000) : 0);
     call.deadline = stop + std::chrono::milliseconds(1500 + this->Draw(6500));
-    call.kept_connection = this->connection.IsKept();
     call.prefix = !call.safe           ? "/tasks/"
                   : this->Draw(8) == 0 ? "/more/"
                                        : "/safe/";
@@ -510,8 +527,7 @@
     } else {
       this->ReadAnswer(call);
     }
-    call.ended = this->ledger.Now();
-    this->ledger.Add(std::move(call));
+    this->End(std::move(call));
   }
 
   void ReadAnswer(CallRecord& call) {
@@ -527,16 +543,9 @@
     }
   }
 
-  const int entry;
-  const std::string host;
-  const std::uint16_t port;
-  const std::string name;
-  SoakLedger& ledger;
   SoakStopper& stopper;
   std::minstd_rand random;
   const bool ignores_close;
-  SoakConnection connection;
-  int count = 0;
   std::thread thread;
 };
 
