Add the interfaces of client accounts and ranks

Cause: configurations with client accounts, their keys, limits and priorities cannot be represented yet.

--- a/src/configuration.h
+++ b/src/configuration.h
@@ -7,11 +7,13 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "src/account_table.h"
 #include "src/clock.h"
 #include "src/generated/file_set_generated.h"
 #include "src/ids.h"
@@ -90,6 +92,8 @@
   Duration target_latency{};
   // 0 is the highest priority.
   std::uint32_t priority = 0;
+  // Takes requests without a key of a client account.
+  bool anonymous = false;
 };
 
 struct AccountLimit {
@@ -119,6 +123,9 @@
   std::map<ServiceName, Service> services;
   std::vector<Route> routes;
   std::unordered_map<AccountId, AccountLimit> accounts;
+  // The client accounts whose keys callers must present; null if callers need
+  // no key.
+  std::shared_ptr<const AccountTable> keyed_accounts{};
   std::vector<DrainRule> drain_rules;
   std::vector<StopPlan> stop_plans;
 };
--- a/src/dialect.h
+++ b/src/dialect.h
@@ -32,6 +32,9 @@
   // Header that every success must carry; one without it did not come from a
   // backend server. Not checked if empty.
   std::string required_success_header;
+  // Header that names the caller's account to backend servers; not sent if
+  // empty.
+  std::string account;
   // The caller's request id is forwarded unchanged. Otherwise the entry
   // generates one for each attempt.
   bool forwards_request_id = false;
--- a/src/dispatcher.h
+++ b/src/dispatcher.h
@@ -36,6 +36,9 @@
   RequestId request;
   WorkClass work_class = WorkClass::kShort;
   AccountId account;
+  // 0 is the highest. A request of a higher rank is not served worse than one
+  // of a lower rank.
+  std::uint32_t rank = 0;
   bool idempotent = false;
   // The request has no body or its whole body is buffered, so a second attempt
   // can run concurrently with the first.
--- a/src/error_kind.h
+++ b/src/error_kind.h
@@ -17,6 +17,8 @@
   kNotImplemented,
   kNoRoute,
   kMethodNotAllowed,
+  kUnknownKey,
+  kConfigurationOutdated,
   kAccountLimited,
   kQueueFull,
   kDeadlineTooShort,
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -272,6 +272,7 @@
   prepared.work.request = prepared.id;
   prepared.work.work_class = route.work_class;
   prepared.work.account = options.account;
+  prepared.work.rank = route.priority;
   prepared.work.max_attempts = route.max_attempts;
   prepared.work.latency_key = route.name;
   prepared.work.target_latency = route.target_latency;
