Pass evidence on to cells of other failure domains through one entry

Cause: evidence about suspects goes to every entry of a small fleet, in one datagram each. Change: EvidenceFanout sends it to one entry of each cell in another failure domain, which passes it on to its cell with its next message. Successive reports take different entries. Rate limits, leaving servers and reports about crashing requests still go directly.

--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -1,13 +1,11 @@
 #include "src/entry_peers.h"
 
 #include <algorithm>
-#include <map>
 #include <memory>
 #include <utility>
 
 #include "src/agent_actions.h"
 #include "src/log_event.h"
-#include "src/rendezvous.h"
 
 namespace acacia {
 namespace {
@@ -19,9 +17,9 @@
 // copy per listener. Listeners read them from the store, which has more
 // bandwidth.
 constexpr std::size_t kMaxRelayedBytes = 16 * 1024;
-// In fleets of at most this size, evidence about suspects and reports about
-// requests go to all entries.
-constexpr std::size_t kSmallFleetEntries = 128;
+// Outcomes of other failure domains that are passed on in one message, so that
+// it usually fits in a datagram.
+constexpr std::size_t kMaxForwardedPerMessage = 8;
 // A failure domain has up to a hundred entries.
 constexpr std::size_t kMaxConnections = 128;
 // Reports about all backend servers, or relayed changes, fit in.
@@ -68,6 +66,7 @@
       clock(clock),
       events(std::move(events)),
       readers(InstanceId(self.instance)),
+      fanout(InstanceId(self.instance)),
       transport(
           executor,
           [this](const PeerAddress& /*from*/, const std::string& bytes) {
@@ -103,6 +102,7 @@
     const TableVersions& since,
     const std::vector<schema::QuarantinedRequestT>& quarantined) {
   const TimePoint now = this->clock.Now();
+  this->ForwardToCell();
   const bool is_heartbeat =
       this->share_soon || now - this->heartbeat_at >= kHeartbeatInterval;
   if (!is_heartbeat && reports.IsEmpty()) {
@@ -158,88 +158,32 @@
   }
 }
 
-bool EntryPeers::IsSmallFleet() const {
-  return this->directory.Members().size() <= kSmallFleetEntries;
-}
-
-std::vector<InstanceId> EntryPeers::AllMembers() const {
-  std::vector<InstanceId> all;
-  for (const auto& [instance, member] : this->directory.Members()) {
-    all.push_back(instance);
-  }
-  return all;
-}
-
-// Evidence about suspects, and about backend servers that are leaving, goes to
-// the entries of their cells, or to all entries of a small fleet. What concerns
-// a rate limit goes to all entries that count towards it: those of the backend
-// server's cell, or all entries while the failure domains are not divided into
-// cells.
-const std::vector<InstanceId>& EntryPeers::RecipientsOf(
-    const schema::BackendEvidenceT& evidence,
-    const std::vector<InstanceId>& all) const {
-  static const std::vector<InstanceId> nobody;
-  const bool is_about_rate_limit = evidence.started > 0 ||
-                                   evidence.rate_limit >= 0 ||
-                                   evidence.rate_limit_ended;
-  if (!evidence.avoided && !evidence.leaving && !is_about_rate_limit) {
-    return nobody;
-  }
-  if (this->IsSmallFleet() ||
-      (is_about_rate_limit && this->cells.IsUndivided())) {
-    return all;
-  }
-  return this->cells.EntriesInCellOfBackend(BackendId(evidence.id));
-}
-
-// In a large fleet one cell, the same for all senders, collects the reports
-// about a request. A quarantine that it begins spreads with the heartbeats.
-const std::vector<InstanceId>& EntryPeers::RecipientsOf(
-    const schema::RequestReportT& report,
-    const std::vector<InstanceId>& all) const {
-  if (this->IsSmallFleet()) {
-    return all;
-  }
-  std::vector<RendezvousNode> nodes;
-  for (const InstanceId& instance : all) {
-    nodes.push_back({instance.Value()});
-  }
-  const std::string key = std::to_string(report.fingerprint);
-  const std::size_t first = RankByRendezvous(key, nodes, 1).front();
-  return this->cells.EntriesInCellOf(all[first]);
-}
-
-void EntryPeers::SendReportsBeyondCell(const ShareHeader& header,
+void EntryPeers::SendReportsBeyondCell(ShareHeader header,
                                        const OutcomeReports& reports) {
-  if (reports.IsEmpty()) {
-    return;
-  }
-  const std::vector<InstanceId> all = this->AllMembers();
-  std::map<InstanceId, OutcomeReports> by_recipient;
-  for (const schema::BackendEvidenceT& each : reports.backends) {
-    for (const InstanceId& instance : this->RecipientsOf(each, all)) {
-      by_recipient[instance].backends.push_back(each);
-    }
-  }
-  for (const schema::RequestReportT& each : reports.requests) {
-    for (const InstanceId& instance : this->RecipientsOf(each, all)) {
-      by_recipient[instance].requests.push_back(each);
-    }
-  }
-  for (const InstanceId& cell_peer :
-       this->cells.EntriesInCellOf(this->directory.Self())) {
-    by_recipient.erase(cell_peer);
-  }
   // Many recipients get the same reports: the message is serialized again only
   // when it differs from the previous one.
-  const OutcomeReports* last = nullptr;
+  const std::vector<ReportsTo> plan =
+      this->fanout.Plan(reports, this->directory.Members(), this->cells);
+  const ReportsTo* last = nullptr;
   std::string bytes;
-  for (const auto& [instance, items] : by_recipient) {
-    if (last == nullptr || !HaveSameSubjects(items, *last)) {
-      bytes = SerializeShare(header, items);
+  for (const ReportsTo& each : plan) {
+    if (last == nullptr || each.forward != last->forward ||
+        !HaveSameSubjects(each.reports, last->reports)) {
+      header.forward = each.forward;
+      bytes = SerializeShare(header, each.reports);
+    }
+    last = &each;
+    this->Send(each.to, bytes);
+  }
+}
+
+void EntryPeers::ForwardToCell() {
+  for (const auto& each : this->forwarded.Take(kMaxForwardedPerMessage)) {
+    const std::string bytes = SerializeForwarded(each);
+    for (const InstanceId& peer :
+         this->cells.EntriesInCellOf(this->directory.Self())) {
+      this->Send(peer, bytes);
     }
-    last = &items;
-    this->Send(instance, bytes);
   }
 }
 
@@ -283,6 +227,9 @@
   if (message->share) {
     this->OnShare(*message->share);
   }
+  for (const auto& each : message->forwarded) {
+    this->events.on_evidence(each->instance, CopyItems(each->outcomes));
+  }
   if (message->relayed) {
     this->events.on_relayed(message->relayed->table,
                             RowVersion(message->relayed->after),
@@ -301,7 +248,11 @@
   }
   this->events.on_known_versions(KnownVersions(share));
   if (!share.outcomes.empty()) {
-    this->events.on_evidence(share.instance, CopyItems(share.outcomes));
+    const auto outcomes = CopyItems(share.outcomes);
+    if (share.forward) {
+      this->forwarded.Add(share.instance, outcomes);
+    }
+    this->events.on_evidence(share.instance, outcomes);
   }
   if (!share.requests.empty() && this->events.on_requests) {
     this->events.on_requests(CopyItems(share.requests));
--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -16,6 +16,7 @@
 
 #include "src/cells.h"
 #include "src/clock.h"
+#include "src/evidence_fanout.h"
 #include "src/member_directory.h"
 #include "src/peer_messages.h"
 #include "src/peer_transport.h"
@@ -93,23 +94,16 @@
   void Send(const InstanceId& to, const std::string& bytes);
   void SendLiveness(const ShareHeader& header,
                     const std::vector<InstanceId>& cell_peers);
-  void SendReportsBeyondCell(const ShareHeader& header,
-                             const OutcomeReports& reports);
-  // Some of `all` members; the result lives as long as these and the cells.
-  const std::vector<InstanceId>& RecipientsOf(
-      const schema::BackendEvidenceT& evidence,
-      const std::vector<InstanceId>& all) const;
-  const std::vector<InstanceId>& RecipientsOf(
-      const schema::RequestReportT& report,
-      const std::vector<InstanceId>& all) const;
-  std::vector<InstanceId> AllMembers() const;
-  bool IsSmallFleet() const;
+  void SendReportsBeyondCell(ShareHeader header, const OutcomeReports& reports);
+  void ForwardToCell();
 
   schema::MemberUpdateT self;
   MemberDirectory& directory;
   const Clock& clock;
   EntryPeersEvents events;
   StoreReaders readers;
+  EvidenceFanout fanout;
+  ForwardedReports forwarded;
   ReaderRole role = ReaderRole::kFirst;
   Cells cells;
   TimePoint heartbeat_at{};
--- a/src/peer_messages.cc
+++ b/src/peer_messages.cc
@@ -56,6 +56,7 @@
   share.members_since = since[TableIndex(FollowedTable::Members)].Value();
   share.silent = header.silent;
   share.serving = header.serving;
+  share.forward = header.forward;
   for (const schema::QuarantinedRequestT& each : header.quarantined) {
     share.quarantined.push_back(
         std::make_unique<schema::QuarantinedRequestT>(each));
@@ -69,6 +70,21 @@
   return PackTable<schema::EntryMessage>(message);
 }
 
+std::string SerializeForwarded(
+    const std::vector<ForwardedOutcomes>& forwarded) {
+  schema::EntryMessageT message;
+  for (const ForwardedOutcomes& each : forwarded) {
+    auto share = std::make_unique<schema::ForwardedShareT>();
+    share->instance = each.from;
+    for (const schema::BackendEvidenceT& outcome : each.outcomes) {
+      share->outcomes.push_back(
+          std::make_unique<schema::BackendEvidenceT>(outcome));
+    }
+    message.forwarded.push_back(std::move(share));
+  }
+  return PackTable<schema::EntryMessage>(message);
+}
+
 std::string SerializeRelayed(FollowedTable table,
                              RowVersion after,
                              const TableRows& changes) {
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -52,6 +52,8 @@
   bool serving = true;
   // The quarantines that the sender knows of, in heartbeats only.
   std::vector<schema::QuarantinedRequestT> quarantined{};
+  // The recipient passes the outcomes on to its cell.
+  bool forward = false;
 };
 
 // What the sender's attempts showed since its last message.
@@ -64,8 +66,15 @@
   }
 };
 
+// Outcomes that the entry `from` reported.
+struct ForwardedOutcomes {
+  std::string from;
+  std::vector<schema::BackendEvidenceT> outcomes;
+};
+
 std::string SerializeShare(const ShareHeader& header,
                            const OutcomeReports& reports);
+std::string SerializeForwarded(const std::vector<ForwardedOutcomes>& forwarded);
 std::string SerializeRelayed(FollowedTable table,
                              RowVersion after,
                              const TableRows& changes);
