Authenticate requests by the keys of client accounts

Cause: configurations with client accounts were read without them, and every request was forwarded, with its key, whoever sent it. Before anything else of a request is handled, its key is looked up. The account and its priority go into Work; the key is removed, and the account's header set or removed. Unknown and missing keys get a 401, or a 503 with a Retry-After of 0.3 to 0.6 s while the entry knows of a configuration that it has not read. Several Authorization headers get a 400. Configurations without accounts are handled as before. The whole of test_correctness and test_error has not been run yet.

--- a/src/account_table.cc
+++ b/src/account_table.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 #include <cstring>
-#include <set>
+#include <iterator>
 #include <utility>
 
 namespace acacia {
@@ -20,10 +20,14 @@
 
 bool AccountTable::Add(ClientAccount account,
                        const std::vector<std::string_view>& keys) {
-  std::set<KeyDigest> digests;
-  for (const std::string_view key : keys) {
-    digests.insert(DigestOf(key));
-  }
+  std::vector<KeyDigest> digests;
+  std::transform(keys.begin(), keys.end(), std::back_inserter(digests),
+                 DigestOf);
+  return this->AddDigests(std::move(account), digests);
+}
+
+bool AccountTable::AddDigests(ClientAccount account,
+                              const std::vector<KeyDigest>& digests) {
   const bool has_conflict = std::any_of(digests.begin(), digests.end(),
                                         [this](const KeyDigest& digest) {
                                           return this->by_key.contains(digest);
--- a/src/account_table.h
+++ b/src/account_table.h
@@ -28,9 +28,16 @@
 // Immutable once built. Thread-safe after the last Add.
 class AccountTable {
  public:
+  // 128 bits make a collision between keys practically impossible.
+  using KeyDigest = std::array<std::uint64_t, 2>;
+
+  static KeyDigest DigestOf(std::string_view key);
+
   // Adds an account with its keys. Returns false, and adds nothing, when one of
   // the keys belongs to an account that was added before.
   bool Add(ClientAccount account, const std::vector<std::string_view>& keys);
+  // The same for keys of which only the digests are known.
+  bool AddDigests(ClientAccount account, const std::vector<KeyDigest>& digests);
 
   bool IsEmpty() const { return this->accounts.empty(); }
   const std::vector<ClientAccount>& Accounts() const { return this->accounts; }
@@ -39,14 +46,10 @@
   const ClientAccount* Find(std::string_view key) const;
 
  private:
-  // 128 bits make a collision between keys practically impossible.
-  using KeyDigest = std::array<std::uint64_t, 2>;
   struct DigestHash {
     std::size_t operator()(const KeyDigest& digest) const { return digest[0]; }
   };
 
-  static KeyDigest DigestOf(std::string_view key);
-
   std::vector<ClientAccount> accounts;
   // The value is an index into `accounts`.
   std::unordered_map<KeyDigest, std::uint32_t, DigestHash> by_key;
--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -10,6 +10,7 @@
 
 #include "src/backend_connection.h"
 #include "src/buffer_budget.h"
+#include "src/caller_authentication.h"
 #include "src/clock.h"
 #include "src/connection_limits.h"
 #include "src/dialect.h"
@@ -119,6 +120,8 @@
   bool close_while_leaving = false;
   // See EntryPolicy.
   bool deadline_bounds_uploads = false;
+  std::atomic<ConfigurationAge> configuration_age{
+      ConfigurationAge::kNewestKnown};
   std::atomic<EntryPhase> phase{EntryPhase::kServing};
   // Set before `phase` leaves kServing and constant from then on.
   StopWindow stop_window;
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -483,6 +483,10 @@
   this->state->InstallConfiguration(std::move(configuration));
 }
 
+void EntryServer::SetConfigurationAge(ConfigurationAge age) {
+  this->state->context.configuration_age = age;
+}
+
 void EntryServer::ApplyFleet(std::unique_ptr<schema::FleetUpdateT> fleet) {
   this->state->OnFleet(std::move(fleet));
 }
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -12,6 +12,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "src/caller_authentication.h"
 #include "src/clock.h"
 #include "src/configuration.h"
 #include "src/connection_limits.h"
@@ -56,6 +57,9 @@
   // Replace the agent's updates in an entry without an agent. A configuration
   // of an older generation than the one in force is refused. Thread-safe.
   void ApplyConfiguration(std::shared_ptr<const Configuration> configuration);
+  // Sets whether a newer configuration than the one in force is known to exist.
+  // Thread-safe.
+  void SetConfigurationAge(ConfigurationAge age);
   void ApplyFleet(std::unique_ptr<schema::FleetUpdateT> fleet);
   // Applies evidence about backend servers that the entry `from` has gathered.
   // Thread-safe.
--- a/src/error_answer.cc
+++ b/src/error_answer.cc
@@ -12,6 +12,7 @@
 namespace http = boost::beast::http;
 
 constexpr int kHttp11 = 11;
+constexpr int kUnauthorized = 401;
 constexpr int kServiceUnavailable = 503;
 constexpr int kTooManyRequests = 429;
 
@@ -39,6 +40,9 @@
       BuildJsonAnswer(answer.http_status, boost::json::serialize(body) + "\n");
   response.set(kErrorHeader, answer.name);
   response.set(kOutcomeHeader, outcome);
+  if (answer.http_status == kUnauthorized) {
+    response.set(http::field::www_authenticate, "Bearer");
+  }
   if (answer.http_status == kServiceUnavailable ||
       answer.http_status == kTooManyRequests) {
     response.set(http::field::retry_after, retry_after);
--- a/src/error_answer.h
+++ b/src/error_answer.h
@@ -14,7 +14,8 @@
     boost::beast::http::response<boost::beast::http::string_body>;
 
 // `retry_after` is the value of the Retry-After header; only answers with
-// status 429 or 503 have one.
+// status 429 or 503 have one. Answers with status 401 name the scheme of the
+// keys.
 StringResponse BuildErrorAnswer(ErrorKind kind, const std::string& retry_after);
 
 // Builds a JSON answer of the entry itself that does not report a request's
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -76,6 +76,7 @@
   TableVersions NewestKnownRows() const;
   TableVersions GapFreeSince() const;
   void OnPeerVersions(const TableVersions& rows);
+  void UpdateConfigurationAge();
   void ApplyRole();
   // Writes this entry's row again if a restored store lost it. `members` is the
   // whole table.
@@ -455,6 +456,7 @@
                                  quarantine.TakeReports(now)};
     this->peers.UpdateRole();
     this->ApplyRole();
+    this->UpdateConfigurationAge();
     // An entry that is not ready yet reports so: lookups then leave it out, and
     // it need not read the store in addition to the readers. An entry that
     // stops sends nothing, so that the others drop it even while the store, and
@@ -513,6 +515,7 @@
   for (std::size_t i = 0; i < rows.size(); ++i) {
     this->followers[i]->ExpectVersion(rows[i]);
   }
+  this->UpdateConfigurationAge();
   // Only readers pass newer versions on at once: from every listener they would
   // multiply the messages and add nothing.
   if (this->NewestKnownRows() != before &&
@@ -521,6 +524,13 @@
   }
 }
 
+void HostControl::State::UpdateConfigurationAge() {
+  const TableFollower& follower = this->Follower(FollowedTable::Configuration);
+  this->entry.SetConfigurationAge(follower.NewestKnownRow() > follower.Version()
+                                      ? ConfigurationAge::kOutdated
+                                      : ConfigurationAge::kNewestKnown);
+}
+
 // Listeners retry an unavailable store less often, since readers tell them when
 // it is back.
 void HostControl::State::ApplyRole() {
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "src/caller_authentication.h"
 #include "src/keep_running.h"
 #include "src/log_event.h"
 #include "src/query_string.h"
@@ -28,6 +29,9 @@
 // refused together apart.
 constexpr double kMinRetryAfterShare = 0.5;
 constexpr Duration kMaxStoppingRetryAfter = std::chrono::milliseconds(200);
+// A newer configuration arrives within about a second after an entry hears of
+// it.
+constexpr Duration kMaxOutdatedRetryAfter = std::chrono::milliseconds(600);
 
 // Counts the request as active for the lifetime of this object.
 class ActiveRequest {
@@ -188,6 +192,10 @@
     CallerOptions options) {
   this->service_name = this->ChooseService(route);
   this->metrics = &this->context.metrics.ForService(this->service_name);
+  const auto account = this->Authenticate(*snapshot, route);
+  if (!account) {
+    co_return co_await this->Refuse(account.error());
+  }
   this->service = this->context.services.Find(this->service_name);
   if (!this->service) {
     co_return co_await this->Refuse(ErrorKind::kNotReady);
@@ -195,7 +203,7 @@
   if (this->caller.ContentLength() > route.max_body_bytes) {
     co_return co_await this->Refuse(ErrorKind::kBodyTooLarge);
   }
-  this->PrepareExchange(*snapshot, route, options);
+  this->PrepareExchange(*snapshot, route, options, *account);
   if (this->IsTooLateToPassOn()) {
     co_return co_await this->Refuse(ErrorKind::kStopping);
   }
@@ -230,6 +238,19 @@
   co_return co_await this->Dispatch();
 }
 
+tl::expected<const ClientAccount*, ErrorKind> ProxyExchange::Authenticate(
+    const EntrySnapshot& snapshot,
+    const Route& route) const {
+  std::vector<std::string_view> authorization;
+  const auto [begin, end] =
+      this->caller.Head().equal_range(http::field::authorization);
+  for (auto field = begin; field != end; ++field) {
+    authorization.push_back(field->value());
+  }
+  return AuthenticateCaller(authorization, route, *snapshot.configuration,
+                            this->context.configuration_age.load());
+}
+
 // Logs that the connection was closed, by the caller or by an earlier answer,
 // before the request was dispatched. Returns false: the connection is not kept.
 bool ProxyExchange::LogDropped() {
@@ -262,7 +283,8 @@
 
 void ProxyExchange::PrepareExchange(const EntrySnapshot& snapshot,
                                     const Route& route,
-                                    const CallerOptions& options) {
+                                    const CallerOptions& options,
+                                    const ClientAccount* account) {
   const auto& head = this->caller.Head();
   Exchange& prepared = this->exchange.emplace();
   prepared.body_share.emplace(this->context.buffers);
@@ -292,6 +314,30 @@
       prepared.is_chunked || head.count(http::field::content_length) > 0;
   prepared.body_complete = this->caller.IsBodyDone();
   this->PrepareHead();
+  if (snapshot.configuration->keyed_accounts) {
+    this->PrepareAccount(account);
+  }
+}
+
+// The request runs on the account that its key belongs to, or on none, whatever
+// else the caller claims. Backend servers are told the account, never the key.
+void ProxyExchange::PrepareAccount(const ClientAccount* account) {
+  http::request_header<>& head = this->exchange->head;
+  Work& work = this->exchange->work;
+  const std::string& name_header = this->context.dialect.account;
+  work.account = account == nullptr ? AccountId() : account->id;
+  if (account != nullptr) {
+    work.rank = account->priority.value_or(work.rank);
+  }
+  if (HoldsKey(head[http::field::authorization])) {
+    head.erase(http::field::authorization);
+  }
+  if (!name_header.empty()) {
+    head.erase(name_header);
+  }
+  if (!name_header.empty() && account != nullptr) {
+    head.set(name_header, account->id.Value());
+  }
 }
 
 // Prepares the part of the head that all attempts share. Each attempt adds its
@@ -412,6 +458,12 @@
     this->retry_after = std::chrono::duration_cast<Duration>(
         this->context.RandomFraction() * kMaxStoppingRetryAfter);
   }
+  if (kind == ErrorKind::kConfigurationOutdated) {
+    this->retry_after = std::chrono::duration_cast<Duration>(
+        kMaxOutdatedRetryAfter *
+        (kMinRetryAfterShare +
+         (1 - kMinRetryAfterShare) * this->context.RandomFraction()));
+  }
   this->LogRefusal(kind);
   this->metrics->errors[static_cast<std::size_t>(kind)]->Increment();
   this->WriteSpan(AnswerFor(kind).name);
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -87,12 +87,17 @@
       std::shared_ptr<const EntrySnapshot> snapshot,
       const Route& route,
       CallerOptions options);
+  tl::expected<const ClientAccount*, ErrorKind> Authenticate(
+      const EntrySnapshot& snapshot,
+      const Route& route) const;
   bool LogDropped();
   ServiceName ChooseService(const Route& route);
   void PrepareExchange(const EntrySnapshot& snapshot,
                        const Route& route,
-                       const CallerOptions& options);
+                       const CallerOptions& options,
+                       const ClientAccount* account);
   void PrepareHead();
+  void PrepareAccount(const ClientAccount* account);
   boost::asio::awaitable<std::optional<ErrorKind>> BufferBody();
   boost::asio::awaitable<std::optional<ErrorKind>> ClaimKey(std::string key);
   boost::asio::awaitable<bool> Dispatch();
