Limit client accounts over the fleet by keepers

Cause: an account's limit applies to all entries together, its requests arrive at few entries that change, and nothing may grow with entries times accounts. Change: an entry chosen by rendezvous hashing keeps each account's token bucket. Requests over the limit get 429.

--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -5,9 +5,11 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 
+#include "src/account_quota.h"
 #include "src/backend_connection.h"
 #include "src/buffer_budget.h"
 #include "src/clock.h"
@@ -50,6 +52,7 @@
         services(executor, registry, clock, std::move(factory)),
         buffers(settings.memory_mb * kBytesPerMegabyte /
                 kBufferedMemoryDivisor),
+        quotas(std::make_unique<SeededRandom>(seed)),
         spans(settings.trace_file),
         request_id_prefix(settings.instance + "-" +
                           std::to_string(seed % kProcessTagCount)),
@@ -111,6 +114,8 @@
   ConnectionPool pool;
   // Bodies of requests and answers.
   BufferBudget buffers;
+  // Limits of client accounts over the fleet.
+  QuotaLimiter quotas;
   EntryMetrics metrics;
   SpanWriter spans;
   // Starts every request id, so that ids differ between instances and restarts.
--- a/src/entry_metrics.cc
+++ b/src/entry_metrics.cc
@@ -59,6 +59,15 @@
   this->buffered_bytes =
       AddGauge(target, "acacia_buffered_bytes",
                "Memory held by the bodies of requests and answers.");
+  this->limited_accounts =
+      AddGauge(target, "acacia_accounts_limited",
+               "Client accounts of which part is refused at this entry.");
+  this->quota_refusals =
+      AddGauge(target, "acacia_quota_refusals",
+               "Requests refused because their account is over its limit.");
+  this->quota_fractions =
+      AddGauge(target, "acacia_quota_fractions_received",
+               "Fractions of accounts received from their keepers.");
   this->refused_connections =
       &prometheus::BuildCounter()
            .Name("acacia_refused_connections_total")
--- a/src/entry_metrics.h
+++ b/src/entry_metrics.h
@@ -59,6 +59,9 @@
   prometheus::Gauge* stopping = nullptr;
   prometheus::Gauge* quarantined_requests = nullptr;
   prometheus::Gauge* buffered_bytes = nullptr;
+  prometheus::Gauge* limited_accounts = nullptr;
+  prometheus::Gauge* quota_refusals = nullptr;
+  prometheus::Gauge* quota_fractions = nullptr;
   prometheus::Counter* refused_connections = nullptr;
 
  private:
--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -259,6 +259,16 @@
   }
 }
 
+void EntryPeers::SendQuotas(const std::vector<QuotaMessage>& messages) {
+  for (const QuotaMessage& each : messages) {
+    const auto* report = std::get_if<schema::QuotaReportT>(&each.payload);
+    this->Send(each.to, report != nullptr
+                            ? SerializeQuotaReport(*report)
+                            : SerializeQuotaReply(
+                                  std::get<schema::QuotaReplyT>(each.payload)));
+  }
+}
+
 void EntryPeers::Send(const InstanceId& to, const std::string& bytes) {
   const auto found = this->directory.Members().find(to);
   if (found == this->directory.Members().end() ||
@@ -288,6 +298,12 @@
                             RowVersion(message->relayed->after),
                             UnpackRelayed(*message->relayed));
   }
+  if (message->quota_report && this->events.on_quota_report) {
+    this->events.on_quota_report(*message->quota_report);
+  }
+  if (message->quota_reply && this->events.on_quota_reply) {
+    this->events.on_quota_reply(*message->quota_reply);
+  }
 }
 
 void EntryPeers::OnShare(const schema::OutcomeShareT& share) {
--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -1,7 +1,7 @@
 // One-way messages between the entries on a host platform: outcomes of
-// attempts, quarantined requests, the newest store versions known, claims to
-// read the store, and the changes that readers relay. Messages may be lost;
-// what did not arrive is read from the store.
+// attempts, quarantined requests, quotas of client accounts, the newest store
+// versions known, claims to read the store, and the changes that readers relay.
+// Messages may be lost; what did not arrive is read from the store.
 //
 // Use on one strand. Calls back on the executor.
 #ifndef SRC_ENTRY_PEERS_H_
@@ -16,6 +16,7 @@
 
 #include "src/cells.h"
 #include "src/clock.h"
+#include "src/fleet_quota.h"
 #include "src/member_directory.h"
 #include "src/peer_messages.h"
 #include "src/peer_transport.h"
@@ -41,6 +42,9 @@
   std::function<void(
       const std::vector<schema::QuarantinedRequestT>& quarantines)>
       on_quarantined{};
+  // Quotas of client accounts.
+  std::function<void(const schema::QuotaReportT& report)> on_quota_report{};
+  std::function<void(const schema::QuotaReplyT& reply)> on_quota_reply{};
 };
 
 class EntryPeers {
@@ -64,6 +68,8 @@
              const TableVersions& known,
              const TableVersions& since,
              const std::vector<schema::QuarantinedRequestT>& quarantined = {});
+  // Sends messages about the quotas of client accounts.
+  void SendQuotas(const std::vector<QuotaMessage>& messages);
   // Sets the cells, which determine the recipients of evidence.
   void SetCells(Cells cells) { this->cells = std::move(cells); }
   // Others name this entry in lookups only while it serves.
--- a/src/entry_server.cc
+++ b/src/entry_server.cc
@@ -213,6 +213,7 @@
     return;
   }
   this->configuration = std::move(next);
+  this->context.quotas.SetAccounts(this->configuration->keyed_accounts.get());
   this->RebuildSnapshot();
   this->context.metrics.generation->Set(
       static_cast<double>(generation.Value()));
@@ -337,6 +338,12 @@
   metrics.stopping->Set(this->stop_begun.load() ? 1 : 0);
   metrics.buffered_bytes->Set(
       static_cast<double>(this->context.buffers.HeldBytes()));
+  metrics.limited_accounts->Set(static_cast<double>(
+      this->context.quotas.LimitedCount(this->clock.Now())));
+  metrics.quota_refusals->Set(
+      static_cast<double>(this->context.quotas.RefusedCount()));
+  metrics.quota_fractions->Set(
+      static_cast<double>(this->context.quotas.FractionCount()));
   metrics.quarantined_requests->Set(static_cast<double>(
       this->quarantine.QuarantinedCount(this->clock.Now())));
 }
@@ -505,6 +512,10 @@
   return this->state->quarantine;
 }
 
+QuotaLimiter& EntryServer::Quotas() {
+  return this->state->context.quotas;
+}
+
 void EntryServer::OnStop(std::function<void()> hook) {
   this->state->on_stop = std::move(hook);
 }
--- a/src/entry_server.h
+++ b/src/entry_server.h
@@ -39,6 +39,7 @@
 };
 
 class EntryMetrics;
+class QuotaLimiter;
 class RequestQuarantine;
 
 class EntryServer {
@@ -68,6 +69,8 @@
   const ConnectionLimits& Limits() const;
   // The requests that are kept from backend servers because they crash them.
   RequestQuarantine& Quarantine();
+  // Admits the requests of client accounts.
+  QuotaLimiter& Quotas();
   // Sets a hook that is called once, on any thread, when the graceful shutdown
   // begins. Must be set before Start.
   void OnStop(std::function<void()> hook);
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -7,6 +7,7 @@
 
 #include "src/entry_metrics.h"
 #include "src/entry_peers.h"
+#include "src/fleet_quota.h"
 #include "src/fleet_state.h"
 #include "src/host_metrics.h"
 #include "src/host_policy.h"
@@ -118,6 +119,7 @@
   std::array<std::unique_ptr<TableFollower>, std::tuple_size_v<TableVersions>>
       followers;
   EntryPeers peers;
+  FleetQuota quotas;
   OperatorServer lookups;
   OperatorServer readiness;
 };
@@ -158,7 +160,16 @@
              [this](const auto& quarantines) {
                this->entry.Quarantine().OnPeerQuarantines(quarantines,
                                                           this->clock.Now());
+             },
+             [this](const schema::QuotaReportT& report) {
+               this->quotas.OnReport(report, this->clock.Now());
+             },
+             [this](const schema::QuotaReplyT& reply) {
+               this->quotas.OnReply(reply, this->clock.Now());
              }}),
+      quotas(entry.Quotas(),
+             InstanceId(settings.instance),
+             static_cast<std::uint32_t>(random.Next())),
       lookups(strand,
               "",
               {{this->adapter.lookup_path,
@@ -422,6 +433,7 @@
   }
   this->peers.SetCells(std::move(cells));
   fleet->sequence = ++this->sequence;
+  this->quotas.SetMembers(this->directory.Members(), fleet_size);
   this->metrics.SetMembers(this->directory.Members().size());
   this->metrics.SetRegistered(this->registry.Backends().size());
   this->entry.ApplyFleet(std::move(fleet));
@@ -467,6 +479,9 @@
       this->peers.Share(reports, this->NewestKnownRows(), this->GapFreeSince(),
                         quarantine.Quarantines(now));
     }
+    // An entry that stops still serves callers for a while.
+    this->peers.SendQuotas(this->quotas.OnTick(now));
+    this->metrics.SetQuotas(this->quotas.Counts());
   }
 }
 
--- a/src/host_metrics.cc
+++ b/src/host_metrics.cc
@@ -35,6 +35,18 @@
                               "acacia_registered_backend_servers",
                               "Backend servers that are registered.")
                       .Add({})) {
+  this->kept_accounts =
+      &GaugeFamily(registry, "acacia_quota_accounts_kept",
+                   "Client accounts whose requests this entry counts.")
+           .Add({});
+  this->limited_accounts =
+      &GaugeFamily(registry, "acacia_quota_accounts_limited",
+                   "Client accounts over their limit, at their keeper.")
+           .Add({});
+  this->keeper_changes =
+      &GaugeFamily(registry, "acacia_quota_keeper_changes",
+                   "How often the keeper of an account changed for this entry.")
+           .Add({});
   auto& relayed = prometheus::BuildCounter()
                       .Name("acacia_relayed_changes_total")
                       .Help("Changes that came from another entry, by table.")
@@ -81,6 +93,12 @@
   this->members->Set(static_cast<double>(count));
 }
 
+void HostMetrics::SetQuotas(const FleetQuotaCounts& counts) {
+  this->kept_accounts->Set(static_cast<double>(counts.kept));
+  this->limited_accounts->Set(static_cast<double>(counts.limited));
+  this->keeper_changes->Set(static_cast<double>(counts.keeper_changes));
+}
+
 void HostMetrics::SetRegistered(std::size_t count) {
   this->registered->Set(static_cast<double>(count));
 }
--- a/src/host_metrics.h
+++ b/src/host_metrics.h
@@ -15,6 +15,7 @@
 #include <string>
 
 #include "src/clock.h"
+#include "src/fleet_quota.h"
 #include "src/peer_messages.h"
 #include "src/row_store.h"
 
@@ -36,6 +37,7 @@
   void SetReadsStore(bool reads) { this->reads_store->Set(reads ? 1 : 0); }
   void SetMembers(std::size_t count);
   void SetRegistered(std::size_t count);
+  void SetQuotas(const FleetQuotaCounts& counts);
 
  private:
   struct TableMetrics {
@@ -54,6 +56,9 @@
   prometheus::Gauge* reads_store;
   prometheus::Gauge* members;
   prometheus::Gauge* registered;
+  prometheus::Gauge* kept_accounts;
+  prometheus::Gauge* limited_accounts;
+  prometheus::Gauge* keeper_changes;
 };
 
 }  // namespace acacia
--- a/src/peer_messages.cc
+++ b/src/peer_messages.cc
@@ -69,6 +69,18 @@
   return PackTable<schema::EntryMessage>(message);
 }
 
+std::string SerializeQuotaReport(const schema::QuotaReportT& report) {
+  schema::EntryMessageT message;
+  message.quota_report = std::make_unique<schema::QuotaReportT>(report);
+  return PackTable<schema::EntryMessage>(message);
+}
+
+std::string SerializeQuotaReply(const schema::QuotaReplyT& reply) {
+  schema::EntryMessageT message;
+  message.quota_reply = std::make_unique<schema::QuotaReplyT>(reply);
+  return PackTable<schema::EntryMessage>(message);
+}
+
 std::string SerializeRelayed(FollowedTable table,
                              RowVersion after,
                              const TableRows& changes) {
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -66,6 +66,8 @@
 
 std::string SerializeShare(const ShareHeader& header,
                            const OutcomeReports& reports);
+std::string SerializeQuotaReport(const schema::QuotaReportT& report);
+std::string SerializeQuotaReply(const schema::QuotaReplyT& reply);
 std::string SerializeRelayed(FollowedTable table,
                              RowVersion after,
                              const TableRows& changes);
--- a/src/proxy_exchange.cc
+++ b/src/proxy_exchange.cc
@@ -227,6 +227,12 @@
   if (this->IsTooLateToPassOn()) {
     co_return co_await this->Refuse(ErrorKind::kStopping);
   }
+  if (const auto wait = this->context.quotas.Admit(this->exchange->work.account,
+                                                   this->context.clock.Now())) {
+    this->retry_after = *wait;
+    co_return co_await this->Refuse(ErrorKind::kAccountLimited);
+  }
+  this->is_charged = true;
   co_return co_await this->Dispatch();
 }
 
@@ -412,6 +418,9 @@
     this->retry_after = std::chrono::duration_cast<Duration>(
         this->context.RandomFraction() * kMaxStoppingRetryAfter);
   }
+  if (this->is_charged && AnswerFor(kind).outcome == Outcome::kNotRun) {
+    this->context.quotas.Return(this->exchange->work.account);
+  }
   this->LogRefusal(kind);
   this->metrics->errors[static_cast<std::size_t>(kind)]->Increment();
   this->WriteSpan(AnswerFor(kind).name);
--- a/src/proxy_exchange.h
+++ b/src/proxy_exchange.h
@@ -151,6 +151,8 @@
   // Suspended in a read of the body, before the request is dispatched.
   bool is_reading_body = false;
   bool is_dispatched = false;
+  // Counted towards the limit of its account.
+  bool is_charged = false;
   // An answer of the entry's own is being, or has been, written.
   bool reply_begun = false;
   TimePoint start_time;
