--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -75,6 +75,8 @@
 std::string SerializeShare(const ShareHeader& header,
                            const OutcomeReports& reports);
 std::string SerializeForwarded(const std::vector<ForwardedOutcomes>& forwarded);
+std::string SerializeQuotaReport(const schema::QuotaReportT& report);
+std::string SerializeQuotaReply(const schema::QuotaReplyT& reply);
 std::string SerializeRelayed(FollowedTable table,
                              RowVersion after,
                              const TableRows& changes);
