Let refused requests wait for the retry budget

Change: where the policy has a retry window, a request that may be sent again waits in HeldRequests for the budget. The budget goes by rank, then by start deadline. Once max_attempts different backend servers have had the request, it is sent again to those that refused it. A request that cannot get budget before its start deadline, by the present rate of requests and the attempts charged, is refused at once with Retry-After.

--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -44,6 +44,8 @@
   const std::vector<BackendId>& excluded;
   // If the attempt fails, the request can be retried at another backend server.
   bool can_retry = true;
+  // If not null, only these backend servers may be chosen, even excluded ones.
+  const std::vector<BackendId>* only = nullptr;
 };
 
 class BackendChooser {
@@ -57,6 +59,13 @@
   // True when at least one backend server in service is not excluded.
   virtual bool HasAlternative(const std::vector<BackendId>& excluded) const = 0;
 
+  // True when at least one of these backend servers is in service and does not
+  // pause.
+  virtual bool HasRoomAmong(const std::vector<BackendId>& /*ids*/,
+                            TimePoint /*now*/) const {
+    return false;
+  }
+
   virtual void OnStart(PooledBackend& backend,
                        const Work& work,
                        TimePoint now) = 0;
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -10,6 +10,7 @@
 #include "src/backend_chooser.h"
 #include "src/backend_pool.h"
 #include "src/check.h"
+#include "src/held_requests.h"
 #include "src/request_quarantine.h"
 #include "src/request_state.h"
 #include "src/retry_after.h"
@@ -61,7 +62,18 @@
                 bool replayable,
                 TimePoint now);
   bool MayRetryAfterRefusal(TimePoint now);
+  // True if the request may be sent to a backend server that has not had it.
   bool HasAttemptsLeft(const RequestState& request) const;
+  bool HasOtherBackend(const RequestState& request, TimePoint now) const;
+  bool HasRepeat(const RequestState& request, TimePoint now) const;
+  bool MayHold(const RequestState& request,
+               AttemptResult result,
+               bool replayable,
+               TimePoint now);
+  void Hold(RequestState& request, TimePoint now);
+  void StartHeld(TimePoint now);
+  bool TryStartHeld(const HeldRequest& held, TimePoint now);
+  void TrimHeld(TimePoint now);
   bool SpendRetry(TimePoint now);
   bool CanRetry(const RequestState& request, TimePoint now);
   void Retry(RequestState& request, TimePoint now);
@@ -90,6 +102,9 @@
   std::unique_ptr<RandomSource> random;
   std::unique_ptr<BackendChooser> chooser;
   AdmissionQueue queue;
+  // Used where the policy has a retry window.
+  HeldRequests held;
+  std::uint32_t max_waiting = 0;
   RetryBudget budget;
   // Replaces `budget` if the policy has a retry window.
   std::optional<WindowedRetryBudget> windowed_budget;
@@ -126,6 +141,7 @@
   if (shed) {
     this->Refuse(*shed, ErrorKind::kQueueFull, now);
   }
+  this->TrimHeld(now);
 }
 
 // A request that no backend server may take, for its rate limit or a pause, is
@@ -195,12 +211,12 @@
 }
 
 void Dispatcher::State::RefuseQueuedWithoutChoice(TimePoint now) {
-  if (this->queue.IsEmpty()) {
+  if (this->queue.IsEmpty() && this->held.IsEmpty()) {
     return;
   }
   std::vector<std::pair<RequestId, ErrorKind>> refused;
   for (const auto& [id, request] : this->requests) {
-    if (!request.running.empty()) {
+    if (!request.running.empty() || this->HasRepeat(request, now)) {
       continue;
     }
     if (!this->chooser->HasAlternative(request.failed)) {
@@ -273,21 +289,116 @@
        request.unknown_outcome_attempts >= kMaxUnknownOutcomeAttempts)) {
     return false;
   }
+  if (this->held.HasBudgetClaim(request.work.rank)) {
+    return false;
+  }
   return this->SpendRetry(now);
 }
 
 bool Dispatcher::State::HasAttemptsLeft(const RequestState& request) const {
   return request.work.max_attempts == 0 ||
-         request.sent_attempts + request.running.size() <
+         request.sent_to.size() + request.running.size() <
              request.work.max_attempts;
 }
 
+bool Dispatcher::State::HasOtherBackend(const RequestState& request,
+                                        TimePoint now) const {
+  return this->HasAttemptsLeft(request) &&
+         this->chooser->HasAlternative(request.failed) &&
+         !this->chooser->AllAtRateLimit(request.failed, now);
+}
+
+// True if an attempt may be repeated at a backend server that refused it.
+bool Dispatcher::State::HasRepeat(const RequestState& request,
+                                  TimePoint now) const {
+  return !request.refused_by.empty() &&
+         this->chooser->HasRoomAmong(request.refused_by, now);
+}
+
+// Whether the request may wait for an attempt that the windowed budget allows.
+bool Dispatcher::State::MayHold(const RequestState& request,
+                                AttemptResult result,
+                                bool replayable,
+                                TimePoint now) {
+  const bool may_run_again =
+      !UnknownOutcomeKind(result).has_value() ||
+      (request.work.idempotent &&
+       request.unknown_outcome_attempts < kMaxUnknownOutcomeAttempts);
+  return this->windowed_budget && replayable && may_run_again &&
+         now + this->chooser->MedianLatency(request.work) <
+             request.work.deadline &&
+         request.last_attempt.Value() < kMaxAttempts &&
+         (this->HasOtherBackend(request, now) ||
+          this->HasRepeat(request, now)) &&
+         !this->QuarantineLeft(request.work, now);
+}
+
+void Dispatcher::State::Hold(RequestState& request, TimePoint now) {
+  const Work& work = request.work;
+  HeldRequest held{work.request, work.rank,
+                   work.deadline - this->chooser->MedianLatency(work)};
+  held.held_since = now;
+  if (!this->HasOtherBackend(request, now)) {
+    held.not_before = now + RepeatDelay(held.start_deadline - now);
+  }
+  this->held.Add(held);
+  this->TrimHeld(now);
+}
+
+// Bounds the requests that wait in the entry, in whichever way.
+void Dispatcher::State::TrimHeld(TimePoint now) {
+  while (!this->held.IsEmpty() && this->held.Size() +
+                                          this->queue.Size(WorkClass::kShort) +
+                                          this->queue.Size(WorkClass::kLong) >
+                                      this->max_waiting) {
+    this->Refuse(*this->held.Last(), ErrorKind::kQueueFull, now);
+  }
+}
+
+void Dispatcher::State::StartHeld(TimePoint now) {
+  if (this->held.IsEmpty()) {
+    return;
+  }
+  for (const RequestId hopeless :
+       this->held.FindHopeless(*this->windowed_budget, now)) {
+    this->Refuse(hopeless, ErrorKind::kRetryBudgetSpent, now);
+  }
+  for (const HeldRequest& held : this->held.InOrder()) {
+    const bool may_start =
+        held.not_before <= now &&
+        (!held.needs_budget || this->windowed_budget->CanSpend(now));
+    if (may_start &&
+        this->QuarantineLeft(this->Find(held.request)->work, now)) {
+      this->Refuse(held.request, ErrorKind::kQuarantined, now);
+    } else if (may_start && this->TryStartHeld(held, now)) {
+      this->held.Remove(held.request);
+    }
+  }
+}
+
+bool Dispatcher::State::TryStartHeld(const HeldRequest& held, TimePoint now) {
+  RequestState& request = *this->Find(held.request);
+  PickRequest pick{request.work, request.failed, this->CanRetry(request, now)};
+  PooledBackend* backend = nullptr;
+  if (this->HasOtherBackend(request, now)) {
+    backend = this->chooser->Pick(pick, now);
+  } else if (!request.refused_by.empty()) {
+    pick.only = &request.refused_by;
+    backend = this->chooser->Pick(pick, now);
+  }
+  if (backend == nullptr || (held.needs_budget && !this->SpendRetry(now))) {
+    return false;
+  }
+  this->StartOn(request, *backend, now);
+  return true;
+}
+
 // Whether the request could be retried if its next attempt failed. The chooser
 // may then try a backend server that is more likely to fail.
 bool Dispatcher::State::CanRetry(const RequestState& request, TimePoint now) {
   const Work& work = request.work;
   const bool has_attempts =
-      work.max_attempts == 0 || request.sent_attempts + 2 <= work.max_attempts;
+      work.max_attempts == 0 || request.sent_to.size() + 2 <= work.max_attempts;
   return work.idempotent && has_attempts &&
          (!this->windowed_budget || this->windowed_budget->HasSpare(now));
 }
@@ -359,6 +470,7 @@
     this->account_limiter.Release(found->second.work.account);
   }
   this->queue.Remove(request);
+  this->held.Remove(request);
   this->requests.erase(found);
 }
 
@@ -446,9 +558,14 @@
         this->chooser->NextReopenTime(now).value_or(now + kQueuePollInterval),
         now + kQueuePollInterval));
   }
+  if (!this->held.IsEmpty()) {
+    include_time(
+        *this->held.NextTime(*this->windowed_budget, kQueuePollInterval, now));
+  }
 }
 
 DispatchActions Dispatcher::State::TakeActions(TimePoint now) {
+  this->StartHeld(now);
   this->StartQueued(now);
   this->UpdateNextTimer(now);
   return std::exchange(this->actions, {});
@@ -480,6 +597,7 @@
     this->state->windowed_budget->Configure(*view.policy.retry_window);
   }
   this->state->queue.Configure(view.policy.queue_length);
+  this->state->max_waiting = view.policy.queue_length;
   this->state->budget.Configure(view.policy.retry_budget_percent);
   this->state->accounts = view.accounts;
   this->state->RefuseQueuedWithoutChoice(now);
@@ -543,7 +661,7 @@
       state.ReportToQuarantine(*request, *attempt, result, now);
       state.actions.push_back(CancelAttempt{request_id, attempt_id});
       state.EndAttempt(*request, attempt_id);
-      ++request->sent_attempts;
+      request->sent_to.push_back(request->failed.back());
       if (!has_other_attempts) {
         state.Retry(*request, now);
       }
@@ -619,18 +737,29 @@
   if (unknown_outcome || report.result == AttemptResult::kSuccess) {
     request->MarkOutcomeUnknown(unknown_outcome.value_or(ErrorKind::kInternal));
   }
-  if (report.result != AttemptResult::kNotSent) {
-    ++request->sent_attempts;
-  }
-  if (report.result != AttemptResult::kRefused || state.windowed_budget) {
-    request->failed.push_back(attempt->backend->server.id);
+  const BackendId backend = attempt->backend->server.id;
+  if (state.windowed_budget) {
+    request->RecordEnd(backend, report.result);
+  } else {
+    if (report.result != AttemptResult::kNotSent) {
+      request->sent_to.push_back(backend);
+    }
+    if (report.result != AttemptResult::kRefused) {
+      request->failed.push_back(backend);
+    }
   }
   state.EndAttempt(*request, report.attempt);
   if (!request->running.empty()) {
     return state.TakeActions(now);
   }
-  if (state.MayRetry(*request, report.result, report.replayable, now)) {
+  // A request that was not sent is not charged to the windowed budget.
+  const bool may_wait =
+      state.windowed_budget && report.result != AttemptResult::kNotSent;
+  if (!may_wait &&
+      state.MayRetry(*request, report.result, report.replayable, now)) {
     state.Retry(*request, now);
+  } else if (state.MayHold(*request, report.result, report.replayable, now)) {
+    state.Hold(*request, now);
   } else {
     state.Refuse(report.request,
                  report.result == AttemptResult::kRefused
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -70,7 +70,7 @@
 
 constexpr std::size_t kPercent = 100;
 
-bool IsExcluded(const std::vector<BackendId>& ids, const BackendId& id) {
+bool Contains(const std::vector<BackendId>& ids, const BackendId& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
@@ -152,7 +152,7 @@
     const std::vector<BackendId>& excluded) const {
   Candidates in_service;
   for (FleetBackend* backend : this->listed) {
-    if (backend->IsInService() && !IsExcluded(excluded, backend->server.id)) {
+    if (backend->IsInService() && !Contains(excluded, backend->server.id)) {
       in_service.push_back(backend);
     }
   }
@@ -188,7 +188,13 @@
 }
 
 PooledBackend* FleetPool::Pick(const PickRequest& request, TimePoint now) {
-  const Candidates in_service = this->SelectInService(request.excluded);
+  Candidates in_service = this->SelectInService(
+      request.only == nullptr ? request.excluded : std::vector<BackendId>{});
+  if (request.only != nullptr) {
+    std::erase_if(in_service, [&request](const FleetBackend* each) {
+      return !Contains(*request.only, each->server.id);
+    });
+  }
   // Below the floor, suspects are probed even by requests that cannot be
   // retried, because the service needs the capacity.
   if (CanProbe(request) || (IsFirstIdempotentAttempt(request) &&
@@ -341,10 +347,19 @@
   return std::any_of(this->listed.begin(), this->listed.end(),
                      [&excluded](const FleetBackend* backend) {
                        return backend->IsInService() &&
-                              !IsExcluded(excluded, backend->server.id);
+                              !Contains(excluded, backend->server.id);
                      });
 }
 
+bool FleetPool::HasRoomAmong(const std::vector<BackendId>& ids,
+                             TimePoint now) const {
+  return std::any_of(ids.begin(), ids.end(), [this, now](const BackendId& id) {
+    const FleetBackend* backend = this->Find(id);
+    return backend != nullptr && backend->in_view && backend->IsInService() &&
+           now >= backend->paused_until;
+  });
+}
+
 void FleetPool::OnStart(PooledBackend& pooled,
                         const Work& work,
                         TimePoint now) {
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -79,6 +79,8 @@
   void Apply(const ServiceView& view, TimePoint now) override;
   PooledBackend* Pick(const PickRequest& request, TimePoint now) override;
   bool HasAlternative(const std::vector<BackendId>& excluded) const override;
+  bool HasRoomAmong(const std::vector<BackendId>& ids,
+                    TimePoint now) const override;
   void OnStart(PooledBackend& backend,
                const Work& work,
                TimePoint now) override;
--- /dev/null
+++ b/src/held_requests.cc
@@ -0,0 +1,95 @@
+#include "src/held_requests.h"
+
+#include <algorithm>
+
+namespace acacia {
+namespace {
+
+// A backend server that has just refused a request refuses most others for some
+// seconds, and each attempt there costs retry budget. A part of the time left
+// allows several attempts before the deadline.
+constexpr int kRepeatsInTimeLeft = 4;
+constexpr Duration kMinRepeatDelay = std::chrono::milliseconds(100);
+constexpr Duration kMaxRepeatDelay = std::chrono::seconds(1);
+
+}  // namespace
+
+Duration RepeatDelay(Duration time_left) {
+  return std::clamp(time_left / kRepeatsInTimeLeft, kMinRepeatDelay,
+                    kMaxRepeatDelay);
+}
+
+void HeldRequests::Add(const HeldRequest& held) {
+  this->Remove(held.request);
+  const Key key{held.rank, held.start_deadline, held.request};
+  this->ordered.emplace(key, held);
+  this->keys.emplace(held.request, key);
+}
+
+void HeldRequests::Remove(RequestId request) {
+  const auto found = this->keys.find(request);
+  if (found != this->keys.end()) {
+    this->ordered.erase(found->second);
+    this->keys.erase(found);
+  }
+}
+
+std::vector<HeldRequest> HeldRequests::InOrder() const {
+  std::vector<HeldRequest> all;
+  all.reserve(this->ordered.size());
+  for (const auto& [key, held] : this->ordered) {
+    all.push_back(held);
+  }
+  return all;
+}
+
+std::optional<RequestId> HeldRequests::Last() const {
+  if (this->ordered.empty()) {
+    return std::nullopt;
+  }
+  return this->ordered.rbegin()->second.request;
+}
+
+bool HeldRequests::HasBudgetClaim(std::uint32_t rank) const {
+  return std::any_of(
+      this->ordered.begin(), this->ordered.end(), [rank](const auto& item) {
+        return item.second.needs_budget && item.second.rank <= rank;
+      });
+}
+
+std::vector<RequestId> HeldRequests::FindHopeless(WindowedRetryBudget& budget,
+                                                  TimePoint now) const {
+  std::vector<RequestId> hopeless;
+  std::size_t ahead = 0;
+  for (const auto& [key, held] : this->ordered) {
+    if (held.start_deadline <= now || held.not_before >= held.start_deadline ||
+        (held.needs_budget &&
+         budget.SpendableBy(held.start_deadline, now) <= ahead)) {
+      hopeless.push_back(held.request);
+    } else if (held.needs_budget) {
+      ++ahead;
+    }
+  }
+  return hopeless;
+}
+
+std::optional<TimePoint> HeldRequests::NextTime(WindowedRetryBudget& budget,
+                                                Duration retry_interval,
+                                                TimePoint now) const {
+  std::optional<TimePoint> next;
+  if (this->ordered.empty()) {
+    return next;
+  }
+  const TimePoint next_spend = budget.NextSpend(now);
+  for (const auto& [key, held] : this->ordered) {
+    TimePoint at = std::max(held.not_before, now + retry_interval);
+    if (held.needs_budget) {
+      at = std::max(at, next_spend);
+    }
+    at = std::min(at, held.start_deadline);
+    next = std::min(next.value_or(at), at);
+  }
+  return next;
+}
+
+}  // namespace acacia
--- a/src/request_state.cc
+++ b/src/request_state.cc
@@ -1,5 +1,7 @@
 #include "src/request_state.h"
 
+#include <algorithm>
+
 namespace acacia {
 
 RunningAttempt* RequestState::FindAttempt(AttemptId attempt) {
@@ -16,6 +18,22 @@
   ++this->unknown_outcome_attempts;
 }
 
+void RequestState::RecordEnd(const BackendId& backend, AttemptResult result) {
+  const auto add = [&backend](std::vector<BackendId>& ids) {
+    if (std::find(ids.begin(), ids.end(), backend) == ids.end()) {
+      ids.push_back(backend);
+    }
+  };
+  std::erase(this->refused_by, backend);
+  add(this->failed);
+  if (result != AttemptResult::kNotSent) {
+    add(this->sent_to);
+  }
+  if (result == AttemptResult::kRefused) {
+    add(this->refused_by);
+  }
+}
+
 std::optional<ErrorKind> UnknownOutcomeKind(AttemptResult result) {
   switch (result) {
     case AttemptResult::kSuccess:
--- a/src/request_state.h
+++ b/src/request_state.h
@@ -34,8 +34,12 @@
   // attempt which may have run. nullopt if no attempt may have run.
   std::optional<ErrorKind> unknown_outcome;
   std::uint32_t unknown_outcome_attempts = 0;
-  // Ended attempts that sent at least one byte.
-  std::uint32_t sent_attempts = 0;
+  // Backend servers to which ended attempts sent at least one byte. Where
+  // refused attempts may be repeated, each is listed once.
+  std::vector<BackendId> sent_to;
+  // Those of them whose last answer was a refusal; only where a refused attempt
+  // may be repeated at the same backend server.
+  std::vector<BackendId> refused_by;
   // Backend servers where an attempt of this request failed.
   std::vector<BackendId> failed;
 
@@ -44,6 +48,8 @@
   // Records that an attempt may have run. From then on the caller is never told
   // that the request did not run.
   void MarkOutcomeUnknown(ErrorKind kind);
+  // Records the end of an attempt where refused attempts may be repeated.
+  void RecordEnd(const BackendId& backend, AttemptResult result);
 };
 
 // The error to report if an attempt with this result may have run and was the
--- a/src/windowed_retry_budget.h
+++ b/src/windowed_retry_budget.h
@@ -21,6 +21,14 @@
   void OnRequest(TimePoint now);
   // Charges one extra attempt; returns false if it would exceed the bound.
   bool Spend(TimePoint now);
+  // Whether Spend would succeed.
+  bool CanSpend(TimePoint now);
+  // The most attempts that can be charged from now until `at`, if requests keep
+  // arriving at a rate somewhat above the present one.
+  std::size_t SpendableBy(TimePoint at, TimePoint now);
+  // When an attempt can be charged if no further request arrives; `now` if one
+  // can be charged now.
+  TimePoint NextSpend(TimePoint now);
   // True while enough budget is left to risk an attempt that is more likely to
   // need a retry.
   bool HasSpare(TimePoint now);
