Send second attempts to backend servers with a recent good answer

Cause: in the first second of traffic nothing is known of any backend server, and both attempts of a safe request met ones that reset, within 13 ms (915 responses 502 of the census forms gateway). Change: with a retry window, the retry of a request that may have run waits up to 600 ms, half of what its target latency leaves and a quarter of its time, for a backend server whose last outcome was a good answer less than 2 s ago and which has a free slot. It goes at once when nothing is in flight that could show one. At least 4 such backend servers must be known: with one, all waiting retries of 46 entries went to a faulty one that had answered once. Tried and not taken: letting requests that may run only once wait in the first second.

--- a/src/backend_chooser.h
+++ b/src/backend_chooser.h
@@ -46,6 +46,9 @@
   bool can_retry = true;
   // If not null, only these backend servers may be chosen, even excluded ones.
   const std::vector<BackendId>* only = nullptr;
+  // Only backend servers with a recent good answer and a free slot may be
+  // chosen.
+  bool proven = false;
 };
 
 class BackendChooser {
@@ -59,6 +62,15 @@
   // True when at least one backend server in service is not excluded.
   virtual bool HasAlternative(const std::vector<BackendId>& excluded) const = 0;
 
+  // True when attempts in flight, of any entry, may soon show that a backend
+  // server that is not excluded answers well.
+  virtual bool MayLearnSoon(const std::vector<BackendId>& /*excluded*/,
+                            TimePoint /*now*/) const {
+    return false;
+  }
+  // True while little is known of the health of the backend servers, because
+  // the first good answer of any has arrived only lately or not at all.
+  virtual bool IsLearning(TimePoint /*now*/) const { return false; }
   // True when at least one of these backend servers is in service and does not
   // pause.
   virtual bool HasRoomAmong(const std::vector<BackendId>& /*ids*/,
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -30,6 +30,9 @@
 // While requests are queued, free slots are looked for at least this often.
 constexpr Duration kQueuePollInterval = std::chrono::milliseconds(20);
 
+// Within this time, an entry hears of the attempts of other entries.
+constexpr Duration kEvidenceDelay = std::chrono::milliseconds(100);
+
 }  // namespace
 
 struct Dispatcher::State {
@@ -70,7 +73,13 @@
                AttemptResult result,
                bool replayable,
                TimePoint now);
-  void Hold(RequestState& request, TimePoint now);
+  void Hold(RequestState& request,
+            AttemptResult result,
+            bool needs_budget,
+            TimePoint now);
+  // Until when the request waits for a backend server with a recent good
+  // answer.
+  TimePoint ProvenUntil(const RequestState& request, TimePoint now) const;
   void StartHeld(TimePoint now);
   bool TryStartHeld(const HeldRequest& held, TimePoint now);
   void TrimHeld(TimePoint now);
@@ -333,13 +342,30 @@
          !this->QuarantineLeft(request.work, now);
 }
 
-void Dispatcher::State::Hold(RequestState& request, TimePoint now) {
+TimePoint Dispatcher::State::ProvenUntil(const RequestState& request,
+                                         TimePoint now) const {
+  const Work& work = request.work;
+  const Duration median = this->chooser->MedianLatency(work);
+  std::optional<Duration> target_left;
+  if (work.target_latency > Duration{}) {
+    target_left = request.arrived + work.target_latency - median - now;
+  }
+  return now + ProvenWait(work.deadline - median - now, target_left);
+}
+
+void Dispatcher::State::Hold(RequestState& request,
+                             AttemptResult result,
+                             bool needs_budget,
+                             TimePoint now) {
   const Work& work = request.work;
   HeldRequest held{work.request, work.rank,
                    work.deadline - this->chooser->MedianLatency(work)};
+  held.needs_budget = needs_budget;
   held.held_since = now;
   if (!this->HasOtherBackend(request, now)) {
     held.not_before = now + RepeatDelay(held.start_deadline - now);
+  } else if (UnknownOutcomeKind(result)) {
+    held.proven_until = this->ProvenUntil(request, now);
   }
   this->held.Add(held);
   this->TrimHeld(now);
@@ -359,9 +385,12 @@
   if (this->held.IsEmpty()) {
     return;
   }
-  for (const RequestId hopeless :
+  for (const HeldRequest& hopeless :
        this->held.FindHopeless(*this->windowed_budget, now)) {
-    this->Refuse(hopeless, ErrorKind::kRetryBudgetSpent, now);
+    this->Refuse(hopeless.request,
+                 hopeless.needs_budget ? ErrorKind::kRetryBudgetSpent
+                                       : ErrorKind::kDeadlineTooShort,
+                 now);
   }
   for (const HeldRequest& held : this->held.InOrder()) {
     const bool may_start =
@@ -381,7 +410,15 @@
   PickRequest pick{request.work, request.failed, this->CanRetry(request, now)};
   PooledBackend* backend = nullptr;
   if (this->HasOtherBackend(request, now)) {
+    pick.proven = now < held.proven_until;
     backend = this->chooser->Pick(pick, now);
+    const bool may_hear_soon = this->chooser->IsLearning(now) &&
+                               now - held.held_since < kEvidenceDelay;
+    if (backend == nullptr && pick.proven && !may_hear_soon &&
+        !this->chooser->MayLearnSoon(request.failed, now)) {
+      pick.proven = false;
+      backend = this->chooser->Pick(pick, now);
+    }
   } else if (!request.refused_by.empty()) {
     pick.only = &request.refused_by;
     backend = this->chooser->Pick(pick, now);
@@ -619,6 +656,7 @@
   RequestState& request = state.requests[work.request];
   request.work = work;
   request.account_limited = limited;
+  request.arrived = now;
   state.budget.OnRequest();
   if (state.windowed_budget) {
     state.windowed_budget->OnRequest(now);
@@ -662,7 +700,9 @@
       state.actions.push_back(CancelAttempt{request_id, attempt_id});
       state.EndAttempt(*request, attempt_id);
       request->sent_to.push_back(request->failed.back());
-      if (!has_other_attempts) {
+      if (!has_other_attempts && state.windowed_budget) {
+        state.Hold(*request, result, false, now);
+      } else if (!has_other_attempts) {
         state.Retry(*request, now);
       }
       return state.TakeActions(now);
@@ -759,7 +799,7 @@
       state.MayRetry(*request, report.result, report.replayable, now)) {
     state.Retry(*request, now);
   } else if (state.MayHold(*request, report.result, report.replayable, now)) {
-    state.Hold(*request, now);
+    state.Hold(*request, report.result, true, now);
   } else {
     state.Refuse(report.request,
                  report.result == AttemptResult::kRefused
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -68,8 +68,25 @@
 // Longer than a backend server that has left may still appear in a registry.
 constexpr Duration kLeavingMemory = std::chrono::minutes(10);
 
+// A backend server whose last outcome was a good answer is proven for this
+// long. A fault can begin at any time and lasts some seconds.
+constexpr Duration kProvenAge = std::chrono::seconds(2);
+
+// A faulty backend server still answers some requests well. With few proven
+// ones, all waiting retries of the fleet would go to such a one together.
+constexpr std::size_t kMinProven = 4;
+
+// From the first good answer on, this long passes until most backend servers
+// have had a request.
+constexpr Duration kLearningTime = std::chrono::seconds(1);
+
 constexpr std::size_t kPercent = 100;
 
+bool IsProven(const SharedHealth& health, TimePoint now) {
+  return now - health.LastGood() < kProvenAge &&
+         health.LastOutcome() == health.LastGood() && !health.IsSuspect(now);
+}
+
 bool Contains(const std::vector<BackendId>& ids, const BackendId& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -195,6 +212,16 @@
       return !Contains(*request.only, each->server.id);
     });
   }
+  if (request.proven) {
+    Candidates proven = this->SelectReceptive(in_service, now);
+    std::erase_if(proven, [this, now](const FleetBackend* each) {
+      return !IsProven(each->shared, now) || this->IsFull(*each, now);
+    });
+    const std::size_t needed =
+        std::clamp<std::size_t>(in_service.size() / 2, 1, kMinProven);
+    return proven.size() < needed ? nullptr
+                                  : this->PickCheapest(proven, request, now);
+  }
   // Below the floor, suspects are probed even by requests that cannot be
   // retried, because the service needs the capacity.
   if (CanProbe(request) || (IsFirstIdempotentAttempt(request) &&
@@ -351,6 +378,19 @@
                      });
 }
 
+bool FleetPool::MayLearnSoon(const std::vector<BackendId>& excluded,
+                             TimePoint now) const {
+  const Candidates in_service = this->SelectInService(excluded);
+  return std::any_of(
+      in_service.begin(), in_service.end(), [now](const FleetBackend* each) {
+        return !each->shared.IsSuspect(now) && EstimateLoad(*each, now) > 0;
+      });
+}
+
+bool FleetPool::IsLearning(TimePoint now) const {
+  return !this->first_good || now - *this->first_good < kLearningTime;
+}
+
 bool FleetPool::HasRoomAmong(const std::vector<BackendId>& ids,
                              TimePoint now) const {
   return std::any_of(ids.begin(), ids.end(), [this, now](const BackendId& id) {
@@ -412,6 +452,7 @@
                         const std::string& source,
                         TimePoint now) {
   const bool before = backend.shared.IsSuspect(now);
+  this->first_good = this->first_good.value_or(now);
   backend.shared.AddGood(now);
   if (before && !backend.shared.IsSuspect(now) && source == kSelf) {
     LogEvent("backend_trusted")
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -79,6 +79,9 @@
   void Apply(const ServiceView& view, TimePoint now) override;
   PooledBackend* Pick(const PickRequest& request, TimePoint now) override;
   bool HasAlternative(const std::vector<BackendId>& excluded) const override;
+  bool MayLearnSoon(const std::vector<BackendId>& excluded,
+                    TimePoint now) const override;
+  bool IsLearning(TimePoint now) const override;
   bool HasRoomAmong(const std::vector<BackendId>& ids,
                     TimePoint now) const override;
   void OnStart(PooledBackend& backend,
@@ -170,6 +173,8 @@
   ServiceName service;
   FailureDomain domain;
   RandomSource& random;
+  // When the first good answer of any backend server was known.
+  std::optional<TimePoint> first_good;
   std::size_t floor_percent = 0;
   std::uint32_t cell_size = 1;
   // Failure domains are divided into cells. Entries of other cells than a
--- a/src/held_requests.cc
+++ b/src/held_requests.cc
@@ -12,8 +12,24 @@
 constexpr Duration kMinRepeatDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxRepeatDelay = std::chrono::seconds(1);
 
+// Longer than most requests of the known deployments take (160 to 400 ms), so
+// that the first answers after a start arrive in time.
+constexpr Duration kMaxProvenWait = std::chrono::milliseconds(600);
+// The share of the time left that may be spent waiting for a proven backend
+// server.
+constexpr int kProvenWaitsInTimeLeft = 4;
+constexpr int kProvenWaitsInTargetLeft = 2;
+
 }  // namespace
 
+Duration ProvenWait(Duration time_left, std::optional<Duration> target_left) {
+  Duration wait = std::min(kMaxProvenWait, time_left / kProvenWaitsInTimeLeft);
+  if (target_left) {
+    wait = std::min(wait, *target_left / kProvenWaitsInTargetLeft);
+  }
+  return std::max(wait, Duration{});
+}
+
 Duration RepeatDelay(Duration time_left) {
   return std::clamp(time_left / kRepeatsInTimeLeft, kMinRepeatDelay,
                     kMaxRepeatDelay);
@@ -57,15 +73,15 @@
       });
 }
 
-std::vector<RequestId> HeldRequests::FindHopeless(WindowedRetryBudget& budget,
-                                                  TimePoint now) const {
-  std::vector<RequestId> hopeless;
+std::vector<HeldRequest> HeldRequests::FindHopeless(WindowedRetryBudget& budget,
+                                                    TimePoint now) const {
+  std::vector<HeldRequest> hopeless;
   std::size_t ahead = 0;
   for (const auto& [key, held] : this->ordered) {
     if (held.start_deadline <= now || held.not_before >= held.start_deadline ||
         (held.needs_budget &&
          budget.SpendableBy(held.start_deadline, now) <= ahead)) {
-      hopeless.push_back(held.request);
+      hopeless.push_back(held);
     } else if (held.needs_budget) {
       ++ahead;
     }
--- a/src/held_requests.h
+++ b/src/held_requests.h
@@ -55,8 +55,8 @@
 
   // Requests that will not start in time: their start deadline has passed, or
   // the budget that can become free until then belongs to those before them.
-  std::vector<RequestId> FindHopeless(WindowedRetryBudget& budget,
-                                      TimePoint now) const;
+  std::vector<HeldRequest> FindHopeless(WindowedRetryBudget& budget,
+                                        TimePoint now) const;
   // The next time at which a request could start or becomes hopeless.
   // `retry_interval` is the time between attempts to find a backend server
   // while the budget allows one.
@@ -76,6 +76,11 @@
 // refused it. `time_left` is the time until it must start.
 Duration RepeatDelay(Duration time_left);
 
+// How long a request waits for a backend server with a recent good answer.
+// `target_left` is the time until it must start to meet its target latency;
+// nullopt if it has none.
+Duration ProvenWait(Duration time_left, std::optional<Duration> target_left);
+
 }  // namespace acacia
 
 #endif  // SRC_HELD_REQUESTS_H_
--- a/src/request_state.h
+++ b/src/request_state.h
@@ -25,6 +25,7 @@
 
 struct RequestState {
   Work work;
+  TimePoint arrived;
   bool account_limited = false;
   AttemptId last_attempt;
   std::vector<RunningAttempt> running;
