--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -68,9 +68,26 @@
 // Longer than a backend server that has left may still appear in a registry.
 constexpr Duration kLeavingMemory = std::chrono::minutes(10);
 
+// A backend server whose last outcome was a good answer is proven for this
+// long. A fault can begin at any time and lasts some seconds.
+constexpr Duration kProvenAge = std::chrono::seconds(2);
+
+// A faulty backend server still answers some requests well. With few proven
+// ones, all waiting retries of the fleet would go to such a one together.
+constexpr std::size_t kMinProven = 4;
+
+// From the first good answer on, this long passes until most backend servers
+// have had a request.
+constexpr Duration kLearningTime = std::chrono::seconds(1);
+
 constexpr std::size_t kPercent = 100;
 
-bool IsExcluded(const std::vector<BackendId>& ids, const BackendId& id) {
+bool IsProven(const SharedHealth& health, TimePoint now) {
+  return now - health.LastGood() < kProvenAge &&
+         health.LastOutcome() == health.LastGood() && !health.IsSuspect(now);
+}
+
+bool Contains(const std::vector<BackendId>& ids, const BackendId& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
@@ -152,7 +169,7 @@
     const std::vector<BackendId>& excluded) const {
   Candidates in_service;
   for (FleetBackend* backend : this->listed) {
-    if (backend->IsInService() && !IsExcluded(excluded, backend->server.id)) {
+    if (backend->IsInService() && !Contains(excluded, backend->server.id)) {
       in_service.push_back(backend);
     }
   }
@@ -188,7 +205,23 @@
 }
 
 PooledBackend* FleetPool::Pick(const PickRequest& request, TimePoint now) {
-  const Candidates in_service = this->SelectInService(request.excluded);
+  Candidates in_service = this->SelectInService(
+      request.only == nullptr ? request.excluded : std::vector<BackendId>{});
+  if (request.only != nullptr) {
+    std::erase_if(in_service, [&request](const FleetBackend* each) {
+      return !Contains(*request.only, each->server.id);
+    });
+  }
+  if (request.proven) {
+    Candidates proven = this->SelectReceptive(in_service, now);
+    std::erase_if(proven, [this, now](const FleetBackend* each) {
+      return !IsProven(each->shared, now) || this->IsFull(*each, now);
+    });
+    const std::size_t needed =
+        std::clamp<std::size_t>(in_service.size() / 2, 1, kMinProven);
+    return proven.size() < needed ? nullptr
+                                  : this->PickCheapest(proven, request, now);
+  }
   // Below the floor, suspects are probed even by requests that cannot be
   // retried, because the service needs the capacity.
   if (CanProbe(request) || (IsFirstIdempotentAttempt(request) &&
@@ -341,10 +374,32 @@
   return std::any_of(this->listed.begin(), this->listed.end(),
                      [&excluded](const FleetBackend* backend) {
                        return backend->IsInService() &&
-                              !IsExcluded(excluded, backend->server.id);
+                              !Contains(excluded, backend->server.id);
                      });
 }
 
+bool FleetPool::MayLearnSoon(const std::vector<BackendId>& excluded,
+                             TimePoint now) const {
+  const Candidates in_service = this->SelectInService(excluded);
+  return std::any_of(
+      in_service.begin(), in_service.end(), [now](const FleetBackend* each) {
+        return !each->shared.IsSuspect(now) && EstimateLoad(*each, now) > 0;
+      });
+}
+
+bool FleetPool::IsLearning(TimePoint now) const {
+  return !this->first_good || now - *this->first_good < kLearningTime;
+}
+
+bool FleetPool::HasRoomAmong(const std::vector<BackendId>& ids,
+                             TimePoint now) const {
+  return std::any_of(ids.begin(), ids.end(), [this, now](const BackendId& id) {
+    const FleetBackend* backend = this->Find(id);
+    return backend != nullptr && backend->in_view && backend->IsInService() &&
+           now >= backend->paused_until;
+  });
+}
+
 void FleetPool::OnStart(PooledBackend& pooled,
                         const Work& work,
                         TimePoint now) {
@@ -397,6 +452,7 @@
                         const std::string& source,
                         TimePoint now) {
   const bool before = backend.shared.IsSuspect(now);
+  this->first_good = this->first_good.value_or(now);
   backend.shared.AddGood(now);
   if (before && !backend.shared.IsSuspect(now) && source == kSelf) {
     LogEvent("backend_trusted")
