Check a configuration before it is sent: acaciactl check-config

Cause: operators learn of mistakes in the platform's configuration only from the entries, which name the first error and do not tell what a version changes.

Change: acaciactl check-config FILE [--in-force FILE] prints all errors, entries that can never match, limits that contradict each other, and what differs from the version in force, each with its resource. platform/ reads the text into a ConfigurationDraft, which keeps what the decoder ignores, and lets the decoder judge each resource by itself, so that its rules exist once. configuration_check and configuration_diff decide without I/O.

--- a/src/acaciactl.h
+++ b/src/acaciactl.h
@@ -10,17 +10,11 @@
 #include <string>
 
 #include "src/config_publisher.h"
+#include "src/ctl_exit_code.h"
 #include "src/platform_client.h"
 
 namespace acacia {
 
-// Exit codes of acaciactl.
-inline constexpr int kCtlAccepted = 0;
-inline constexpr int kCtlRefused = 1;
-inline constexpr int kCtlMistake = 2;
-inline constexpr int kCtlUnknown = 3;
-inline constexpr int kCtlUnavailable = 4;
-
 struct ApplyOptions {
   std::string folder;
   std::string platform;
--- a/src/acaciactl_main.cc
+++ b/src/acaciactl_main.cc
@@ -1,11 +1,14 @@
 // The command line of acaciactl, with which operators validate and apply file
-// sets and query the operator listener of an entry or agent.
+// sets, check a configuration of the host platform before they send it, and
+// query the operator listener of an entry or agent.
 #include <boost/asio.hpp>
 #include <boost/program_options.hpp>
 #include <boost/url.hpp>
 #include <iostream>
 
+#include "platform/configuration_draft_reader.h"
 #include "src/acaciactl.h"
+#include "src/check_config.h"
 #include "src/command_line.h"
 #include "src/log_event.h"
 #include "src/socket_address.h"
@@ -19,11 +22,13 @@
     "Usage:\n"
     "  acaciactl validate DIR\n"
     "  acaciactl apply DIR --platform IP:PORT [--write-id ID] [--based-on N]\n"
+    "  acaciactl check-config FILE [--in-force FILE]\n"
     "  acaciactl status --operator IP:PORT [--token T]\n"
     "  acaciactl explain --operator IP:PORT [--token T] --service NAME\n"
     "Exit codes:\n"
     "  0 valid, accepted or answered\n"
-    "  1 refused: another set won, or the listener refused the question\n"
+    "  1 refused: another set won, the listener refused the question, or\n"
+    "    the configuration has errors\n"
     "  2 a mistake in the files or on the command line\n"
     "  3 unknown: a reply was lost; run apply again with the same --write-id\n"
     "  4 the platform or the listener cannot be reached; nothing was applied\n";
@@ -38,6 +43,8 @@
       "identifies this apply; the same again is safe")(
       "based-on", options::value<std::uint64_t>(),
       "refuse unless this generation is the current one")(
+      "in-force", options::value<std::string>()->default_value(""),
+      "the configuration in force, to compare with")(
       "writer", options::value<std::string>()->default_value("acaciactl"),
       "who applies, for the record")(
       "operator", options::value<std::string>()->default_value(""),
@@ -48,7 +55,8 @@
       "the service to explain")(
       "settings", options::value<std::string>(),
       "a file of NAME = VALUE lines with defaults for these options")(
-      "words", options::value<std::vector<std::string>>(), "command and DIR");
+      "words", options::value<std::vector<std::string>>(),
+      "command, and DIR or FILE");
   return description;
 }
 
@@ -89,10 +97,11 @@
 int RunCommand(const options::variables_map& values,
                const std::vector<std::string>& words) {
   const std::string& command = words.front();
-  const bool takes_folder = command == "validate" || command == "apply";
-  if (words.size() != (takes_folder ? 2 : 1)) {
-    return ReportUsageError(takes_folder ? "name one folder"
-                                         : "too many words");
+  const bool takes_path =
+      command == "validate" || command == "apply" || command == "check-config";
+  if (words.size() != (takes_path ? 2 : 1)) {
+    return ReportUsageError(takes_path ? "name one folder or file"
+                                       : "too many words");
   }
   if (command == "validate") {
     return Validate(words[1], std::cout, std::cerr);
@@ -100,6 +109,10 @@
   if (command == "apply") {
     return RunApply(values, words[1]);
   }
+  if (command == "check-config") {
+    return CheckConfig({words[1], StringOption(values, "in-force")},
+                       platform::ReadConfigurationDraft, std::cout, std::cerr);
+  }
   if (command == "status") {
     return RunQuery(values, "/status");
   }
