--- a/test/fuzz/dispatcher_state_test.cc
+++ b/test/fuzz/dispatcher_state_test.cc
@@ -48,8 +48,10 @@
 
 // Each bit of `bits` decides one thing about one backend server.
 ServiceView MakeView(std::uint32_t bits,
-                     Deployment deployment = Deployment::kAgents) {
+                     Deployment deployment = Deployment::kAgents,
+                     double hedge_percent = 0) {
   ServiceView view;
+  view.policy.hedge_percent = hedge_percent;
   const bool is_host = deployment == Deployment::kHostPlatform;
   if (is_host) {
     view.policy.retry_window = RetryWindow{0.2, 4, std::chrono::seconds(10)};
@@ -80,16 +82,22 @@
 class Run {
  public:
   explicit Run(ActionFilter filter = nullptr,
-               Deployment deployment = Deployment::kAgents)
+               Deployment deployment = Deployment::kAgents,
+               double hedge_percent = 0)
       : filter(std::move(filter)),
         deployment(deployment),
+        hedge_percent(hedge_percent),
         dispatcher(ServiceName("s"),
                    InstanceId("e1"),
                    std::make_unique<SeededRandom>(1),
-                   MakeView(0, deployment),
+                   MakeView(0, deployment, hedge_percent),
                    TimePoint(std::chrono::seconds(1)),
-                   MakeFactory(deployment)) {
-    this->oracle.OnView(MakeView(0, deployment));
+                   MakeFactory(deployment),
+                   nullptr,
+                   [this](HedgeEvent event) {
+                     this->hedges += event == HedgeEvent::kSent ? 1 : 0;
+                   }) {
+    this->oracle.OnView(MakeView(0, deployment, hedge_percent));
   }
 
   void Play(const Script& script) {
@@ -104,6 +112,8 @@
     this->Drain();
   }
 
+  int Hedges() const { return this->hedges; }
+
  private:
   static ChooserFactory MakeFactory(Deployment deployment) {
     if (deployment == Deployment::kAgents) {
@@ -133,9 +143,11 @@
       case Operation::kCallerLeft:
         return this->CallerLeft(step.a);
       case Operation::kView:
-        this->oracle.OnView(MakeView(step.a, this->deployment));
+        this->oracle.OnView(
+            MakeView(step.a, this->deployment, this->hedge_percent));
         return this->Check(this->dispatcher.OnView(
-            MakeView(step.a, this->deployment), this->now));
+            MakeView(step.a, this->deployment, this->hedge_percent),
+            this->now));
       case Operation::kAdvance:
         return this->AdvanceTo(this->now +
                                std::chrono::milliseconds(step.a % 400));
@@ -260,6 +272,8 @@
 
   ActionFilter filter;
   Deployment deployment;
+  double hedge_percent = 0;
+  int hedges = 0;
   Dispatcher dispatcher;
   DispatcherOracle oracle;
   TimePoint now{std::chrono::seconds(1)};
@@ -335,6 +349,18 @@
   }
 }
 
+// The scripts are long enough for the latencies to be measured.
+TEST_CASE("Long random scripts with a hedge limit keep every rule") {
+  int hedges = 0;
+  for (std::uint64_t seed = 1; seed <= 80; ++seed) {
+    INFO("seed " << seed);
+    Run run(nullptr, Deployment::kAgents, 50);
+    CHECK_NOTHROW(run.Play(MakeScript(seed, 12000)));
+    hedges += run.Hedges();
+  }
+  CHECK(hedges >= 20);
+}
+
 TEST_CASE("Short scripts keep every rule and shrink when they do not") {
   REQUIRE(kSeedIsSet == 0);
   const auto step = rc::gen::map(
