Get configurations that are not relayed from other entries

Cause: configurations above 16 KB are not relayed. All entries read them from the store after 0.6 s, and one that the store turned away did not get them. Change: an entry that is behind asks a random entry that announced that it holds the newer version, after 0.4 to 0.6 s, and another one each 0.2 s. Shares say whether the sender holds the version that it announces. The text kept for them has digests instead of keys. Listeners ask the store for the configuration only after 1.2 s. Metrics count what came from other entries, and the client accounts in force.

--- a/src/caller_authentication.h
+++ b/src/caller_authentication.h
@@ -9,16 +9,11 @@
 
 #include "src/account_table.h"
 #include "src/configuration.h"
+#include "src/configuration_age.h"
 #include "src/error_kind.h"
 
 namespace acacia {
 
-enum class ConfigurationAge {
-  kNewestKnown,
-  // A newer configuration exists that this entry has not read.
-  kOutdated,
-};
-
 // `authorization` holds the value of each Authorization header of the request.
 // Returns the caller's account, valid for the lifetime of the configuration;
 // null where callers need no key: on anonymous routes, and if the configuration
--- a/src/entry_peers.cc
+++ b/src/entry_peers.cc
@@ -111,6 +111,8 @@
   this->share_soon = false;
   ShareHeader header{this->self.instance, known, since};
   header.serving = this->serving;
+  header.configuration_unread =
+      this->configuration_age == ConfigurationAge::kOutdated;
   if (is_heartbeat) {
     this->heartbeat_at = now;
     header.quarantined = quarantined;
@@ -259,6 +261,10 @@
   }
 }
 
+void EntryPeers::RequestRow(const InstanceId& from, RowVersion after) {
+  this->Send(from, SerializeRowRequest(this->self.instance, after));
+}
+
 void EntryPeers::Send(const InstanceId& to, const std::string& bytes) {
   const auto found = this->directory.Members().find(to);
   if (found == this->directory.Members().end() ||
@@ -288,6 +294,13 @@
                             RowVersion(message->relayed->after),
                             UnpackRelayed(*message->relayed));
   }
+  if (message->row_request && this->events.on_row_request) {
+    this->events.on_row_request(InstanceId(message->row_request->instance),
+                                RowVersion(message->row_request->after));
+  }
+  if (message->row_reply && this->events.on_row_reply) {
+    this->events.on_row_reply(UnpackRelayed(*message->row_reply));
+  }
 }
 
 void EntryPeers::OnShare(const schema::OutcomeShareT& share) {
@@ -300,6 +313,10 @@
     this->directory.OnReportedSilent(share.silent, now);
   }
   this->events.on_known_versions(KnownVersions(share));
+  if (!share.configuration_unread && this->events.on_configuration_holder) {
+    this->events.on_configuration_holder(from,
+                                         RowVersion(share.configuration_row));
+  }
   if (!share.outcomes.empty()) {
     this->events.on_evidence(share.instance, CopyItems(share.outcomes));
   }
--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -16,6 +16,7 @@
 
 #include "src/cells.h"
 #include "src/clock.h"
+#include "src/configuration_age.h"
 #include "src/member_directory.h"
 #include "src/peer_messages.h"
 #include "src/peer_transport.h"
@@ -41,6 +42,14 @@
   std::function<void(
       const std::vector<schema::QuarantinedRequestT>& quarantines)>
       on_quarantined{};
+  // Another entry announced that it holds the configuration up to `version`.
+  std::function<void(const InstanceId& from, RowVersion version)>
+      on_configuration_holder{};
+  // Another entry asked for the configuration row, if it is newer than `after`.
+  std::function<void(const InstanceId& from, RowVersion after)>
+      on_row_request{};
+  // Another entry sent the newest configuration row up to a version.
+  std::function<void(const TableRows& newest)> on_row_reply{};
 };
 
 class EntryPeers {
@@ -68,6 +77,15 @@
   void SetCells(Cells cells) { this->cells = std::move(cells); }
   // Others name this entry in lookups only while it serves.
   void SetServing(bool serving) { this->serving = serving; }
+  // Whether the newest configuration known to exist has been read.
+  void SetConfigurationAge(ConfigurationAge age) {
+    this->configuration_age = age;
+  }
+  void RequestRow(const InstanceId& from, RowVersion after);
+  // `reply` is made by SerializeRowReply.
+  void SendRow(const InstanceId& to, const std::string& reply) {
+    this->Send(to, reply);
+  }
   // Makes the next call of Share send a heartbeat even if none is due.
   void ShareSoon() { this->share_soon = true; }
   // Relays changes that this entry has read from the store, complete since
@@ -115,6 +133,7 @@
   TimePoint heartbeat_at{};
   bool share_soon = false;
   bool serving = true;
+  ConfigurationAge configuration_age = ConfigurationAge::kNewestKnown;
   PeerTransport transport;
 };
 
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -17,6 +17,7 @@
 #include "src/peer_messages.h"
 #include "src/random_source.h"
 #include "src/request_quarantine.h"
+#include "src/row_request.h"
 #include "src/table_follower.h"
 
 namespace acacia {
@@ -37,6 +38,12 @@
 // with the start of one entry, short compared with the seconds for which a
 // lookup answer is used.
 constexpr std::chrono::milliseconds kMemberBatchPause{150};
+// Listeners ask other entries for a configuration that is not relayed before
+// they ask the store, so that a large one is read from the store by few.
+constexpr Duration kConfigurationRelayTimeout = std::chrono::milliseconds(1200);
+// A row of the store is at most 64 KB. The digests that replace the keys of
+// accounts may be longer than these.
+constexpr std::size_t kMaxRowReplyBytes = 128 * 1024;
 // Pause before a failed write of this entry's row is retried.
 constexpr std::chrono::milliseconds kRowRetryPause{500};
 // While stopping, how often this entry checks whether the write of its row has
@@ -77,6 +84,11 @@
   TableVersions GapFreeSince() const;
   void OnPeerVersions(const TableVersions& rows);
   void UpdateConfigurationAge();
+  void KeepConfigurationRow(const TableRow& row, bool is_newer);
+  void OnConfigurationHolder(const InstanceId& from, RowVersion version);
+  void OnRowRequest(const InstanceId& from, RowVersion after);
+  void OnRowReply(const TableRows& newest);
+  void RequestConfiguration();
   void ApplyRole();
   // Writes this entry's row again if a restored store lost it. `members` is the
   // whole table.
@@ -111,6 +123,11 @@
   bool stopping = false;
   std::uint64_t sequence = 0;
   Generation generation;
+  // The configuration in force, for other entries, without the keys of
+  // accounts. Its version is that of the newest row read.
+  TableRow configuration_row;
+  RowRequester row_requester{random};
+  RowReplyBudget reply_budget;
   std::unique_ptr<RowStore> own_rows;
   // Version of this entry's row in the members table; 0 while it is not known
   // to be written.
@@ -159,7 +176,14 @@
              [this](const auto& quarantines) {
                this->entry.Quarantine().OnPeerQuarantines(quarantines,
                                                           this->clock.Now());
-             }}),
+             },
+             [this](const InstanceId& from, RowVersion version) {
+               this->OnConfigurationHolder(from, version);
+             },
+             [this](const InstanceId& from, RowVersion after) {
+               this->OnRowRequest(from, after);
+             },
+             [this](const TableRows& newest) { this->OnRowReply(newest); }}),
       lookups(strand,
               "",
               {{this->adapter.lookup_path,
@@ -217,6 +241,8 @@
   };
   this->Follow(FollowedTable::Configuration, this->adapter.configuration_table,
                {each_configuration, each_configuration, [](bool) {}});
+  this->Follower(FollowedTable::Configuration)
+      .SetRelayTimeout(kConfigurationRelayTimeout);
   this->Follow(
       FollowedTable::Registrations, this->adapter.registrations_table,
       {[this](const TableRows& rows) { this->OnRegistrations(rows, true); },
@@ -291,6 +317,7 @@
     return;
   }
   const bool is_newer = configuration->generation > this->generation;
+  this->KeepConfigurationRow(row, is_newer);
   LogEvent(is_newer ? "configuration_read" : "configuration_not_newer")
       .With("generation", configuration->generation)
       .With("in_force", this->generation)
@@ -299,6 +326,10 @@
     return;
   }
   this->generation = configuration->generation;
+  this->metrics.SetClientAccounts(
+      configuration->keyed_accounts
+          ? configuration->keyed_accounts->Accounts().size()
+          : 0);
   this->entry.ApplyConfiguration(
       std::make_shared<const Configuration>(std::move(*configuration)));
 }
@@ -457,6 +488,7 @@
     this->peers.UpdateRole();
     this->ApplyRole();
     this->UpdateConfigurationAge();
+    this->RequestConfiguration();
     // An entry that is not ready yet reports so: lookups then leave it out, and
     // it need not read the store in addition to the readers. An entry that
     // stops sends nothing, so that the others drop it even while the store, and
@@ -526,9 +558,85 @@
 
 void HostControl::State::UpdateConfigurationAge() {
   const TableFollower& follower = this->Follower(FollowedTable::Configuration);
-  this->entry.SetConfigurationAge(follower.NewestKnownRow() > follower.Version()
-                                      ? ConfigurationAge::kOutdated
-                                      : ConfigurationAge::kNewestKnown);
+  const ConfigurationAge age = follower.NewestKnownRow() > follower.Version()
+                                   ? ConfigurationAge::kOutdated
+                                   : ConfigurationAge::kNewestKnown;
+  this->entry.SetConfigurationAge(age);
+  this->peers.SetConfigurationAge(age);
+}
+
+void HostControl::State::KeepConfigurationRow(const TableRow& row,
+                                              bool is_newer) {
+  TableRow& kept = this->configuration_row;
+  kept.key = row.key;
+  kept.version = NewerVersion(kept.version, row.version);
+  if (is_newer) {
+    kept.value = this->adapter.hide_keys ? this->adapter.hide_keys(row.value)
+                                         : row.value;
+  }
+}
+
+void HostControl::State::OnConfigurationHolder(const InstanceId& from,
+                                               RowVersion version) {
+  if (version > this->Follower(FollowedTable::Configuration).Version()) {
+    this->row_requester.OnHolder(from,
+                                 this->directory.IsDomainPeer(from)
+                                     ? HolderDistance::kSameDomain
+                                     : HolderDistance::kOtherDomain,
+                                 version);
+  }
+}
+
+// Asks another entry for the configuration if this entry has been behind for
+// some time, whether or not the store answers.
+void HostControl::State::RequestConfiguration() {
+  const TableFollower& follower = this->Follower(FollowedTable::Configuration);
+  const auto holder = this->row_requester.Poll(
+      follower.Version(), follower.NewestKnownRow(), this->clock.Now());
+  if (holder && !this->stopping) {
+    LogEvent("configuration_requested")
+        .With("from", *holder)
+        .With("version", follower.Version())
+        .With("others_know", follower.NewestKnownRow());
+    this->peers.RequestRow(*holder, follower.Version());
+  }
+}
+
+void HostControl::State::OnRowRequest(const InstanceId& from,
+                                      RowVersion after) {
+  const RowVersion version =
+      this->Follower(FollowedTable::Configuration).Version();
+  const bool has_newer = this->generation > Generation() && version > after;
+  if (!has_newer || this->stopping) {
+    return;
+  }
+  const std::string reply =
+      SerializeRowReply({{this->configuration_row}, version});
+  if (reply.size() <= kMaxRowReplyBytes &&
+      this->reply_budget.Take(reply.size(), this->clock.Now())) {
+    this->peers.SendRow(from, reply);
+  }
+}
+
+void HostControl::State::OnRowReply(const TableRows& newest) {
+  const bool is_expected =
+      newest.rows.size() == 1 &&
+      newest.rows.front().key == this->adapter.configuration_key &&
+      newest.rows.front().value.size() <= kMaxRowReplyBytes;
+  const Generation before = this->generation;
+  TableFollower& follower = this->Follower(FollowedTable::Configuration);
+  if (!is_expected || !follower.ApplyNewest(newest)) {
+    return;
+  }
+  LogEvent("configuration_from_peer")
+      .With("version", newest.version)
+      .With("generation", this->generation);
+  if (this->generation > before) {
+    this->metrics.OnRowFromPeer();
+  }
+  this->UpdateConfigurationAge();
+  // The others of the failure domain may now ask this entry.
+  this->peers.ShareSoon();
 }
 
 // Listeners retry an unavailable store less often, since readers tell them when
--- a/src/host_metrics.cc
+++ b/src/host_metrics.cc
@@ -34,7 +34,17 @@
       registered(&GaugeFamily(registry,
                               "acacia_registered_backend_servers",
                               "Backend servers that are registered.")
-                      .Add({})) {
+                      .Add({})),
+      rows_from_peers(
+          &prometheus::BuildCounter()
+               .Name("acacia_configurations_from_peers_total")
+               .Help("Configurations that another entry sent on request.")
+               .Register(registry)
+               .Add({})),
+      client_accounts(&GaugeFamily(registry,
+                                   "acacia_client_accounts",
+                                   "Client accounts in force.")
+                           .Add({})) {
   auto& relayed = prometheus::BuildCounter()
                       .Name("acacia_relayed_changes_total")
                       .Help("Changes that came from another entry, by table.")
@@ -77,6 +87,10 @@
   this->MetricsFor(table).era->Set(EraOf(version).Value());
 }
 
+void HostMetrics::SetClientAccounts(std::size_t count) {
+  this->client_accounts->Set(static_cast<double>(count));
+}
+
 void HostMetrics::SetMembers(std::size_t count) {
   this->members->Set(static_cast<double>(count));
 }
--- a/src/host_metrics.h
+++ b/src/host_metrics.h
@@ -32,6 +32,9 @@
               UnixTime now);
   // Counts changes received from an entry that reads the store for this one.
   void OnRelayed(FollowedTable table, UnixTime now);
+  // Counts a configuration that another entry sent on request.
+  void OnRowFromPeer() { this->rows_from_peers->Increment(); }
+  void SetClientAccounts(std::size_t count);
   void SetVersion(FollowedTable table, RowVersion version);
   void SetReadsStore(bool reads) { this->reads_store->Set(reads ? 1 : 0); }
   void SetMembers(std::size_t count);
@@ -54,6 +57,8 @@
   prometheus::Gauge* reads_store;
   prometheus::Gauge* members;
   prometheus::Gauge* registered;
+  prometheus::Counter* rows_from_peers;
+  prometheus::Gauge* client_accounts;
 };
 
 }  // namespace acacia
--- a/src/peer_messages.cc
+++ b/src/peer_messages.cc
@@ -6,6 +6,32 @@
 #include "src/flat_table.h"
 
 namespace acacia {
+namespace {
+
+std::unique_ptr<schema::RelayedRowsT> PackRows(FollowedTable table,
+                                               RowVersion after,
+                                               const TableRows& changes) {
+  auto packed = std::make_unique<schema::RelayedRowsT>();
+  schema::RelayedRowsT& relayed = *packed;
+  relayed.table = table;
+  relayed.after = after.Value();
+  relayed.version = changes.version.Value();
+  for (const TableRow& row : changes.rows) {
+    auto out = std::make_unique<schema::RelayedRowT>();
+    out->key = row.key;
+    out->value.assign(row.value.begin(), row.value.end());
+    out->version = row.version.Value();
+    out->removed = row.removed;
+    relayed.rows.push_back(std::move(out));
+  }
+  return packed;
+}
+
+bool HasUnknownTable(const std::unique_ptr<schema::RelayedRowsT>& rows) {
+  return rows && rows->table > FollowedTable::MAX;
+}
+
+}  // namespace
 
 std::string SerializeMember(const schema::MemberUpdateT& member) {
   return PackTable<schema::MemberUpdate>(member);
@@ -56,6 +82,7 @@
   share.members_since = since[TableIndex(FollowedTable::Members)].Value();
   share.silent = header.silent;
   share.serving = header.serving;
+  share.configuration_unread = header.configuration_unread;
   for (const schema::QuarantinedRequestT& each : header.quarantined) {
     share.quarantined.push_back(
         std::make_unique<schema::QuarantinedRequestT>(each));
@@ -73,19 +100,22 @@
                              RowVersion after,
                              const TableRows& changes) {
   schema::EntryMessageT message;
-  message.relayed = std::make_unique<schema::RelayedRowsT>();
-  schema::RelayedRowsT& relayed = *message.relayed;
-  relayed.table = table;
-  relayed.after = after.Value();
-  relayed.version = changes.version.Value();
-  for (const TableRow& row : changes.rows) {
-    auto out = std::make_unique<schema::RelayedRowT>();
-    out->key = row.key;
-    out->value.assign(row.value.begin(), row.value.end());
-    out->version = row.version.Value();
-    out->removed = row.removed;
-    relayed.rows.push_back(std::move(out));
-  }
+  message.relayed = PackRows(table, after, changes);
+  return PackTable<schema::EntryMessage>(message);
+}
+
+std::string SerializeRowRequest(const std::string& instance, RowVersion after) {
+  schema::EntryMessageT message;
+  message.row_request = std::make_unique<schema::RowRequestT>();
+  message.row_request->instance = instance;
+  message.row_request->after = after.Value();
+  return PackTable<schema::EntryMessage>(message);
+}
+
+std::string SerializeRowReply(const TableRows& newest) {
+  schema::EntryMessageT message;
+  message.row_reply =
+      PackRows(FollowedTable::Configuration, RowVersion(), newest);
   return PackTable<schema::EntryMessage>(message);
 }
 
@@ -93,8 +123,9 @@
     const std::string& bytes) {
   auto message = UnpackTable<schema::EntryMessage>(bytes);
   // The verification does not include the ranges of enumerations.
-  const bool has_unknown_table = message && message->relayed &&
-                                 message->relayed->table > FollowedTable::MAX;
+  const bool has_unknown_table =
+      message && (HasUnknownTable(message->relayed) ||
+                  HasUnknownTable(message->row_reply));
   return has_unknown_table ? std::nullopt : std::move(message);
 }
 
--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -52,6 +52,8 @@
   bool serving = true;
   // The quarantines that the sender knows of, in heartbeats only.
   std::vector<schema::QuarantinedRequestT> quarantined{};
+  // The sender has only heard of the newest configuration row.
+  bool configuration_unread = false;
 };
 
 // What the sender's attempts showed since its last message.
@@ -69,6 +71,11 @@
 std::string SerializeRelayed(FollowedTable table,
                              RowVersion after,
                              const TableRows& changes);
+// Asks for the newest configuration row that the receiver holds, if it is newer
+// than version `after`.
+std::string SerializeRowRequest(const std::string& instance, RowVersion after);
+// `newest` holds the newest configuration row up to its version.
+std::string SerializeRowReply(const TableRows& newest);
 // Returns nullopt when the bytes are malformed.
 std::optional<schema::EntryMessageT> ParseEntryMessage(
     const std::string& bytes);
--- a/src/table_follower.cc
+++ b/src/table_follower.cc
@@ -96,6 +96,7 @@
   std::optional<bool> available;
   Duration retry_pause = kFirstRetryPause;
   Duration max_retry_pause = kMaxRetryPause;
+  Duration relay_timeout = kRelayTimeout;
   bool is_pausing_after_failure = false;
   std::optional<PollTurn> poll_turn;
   // The last poll ended without changes.
@@ -229,6 +230,9 @@
   if (!this->gap_free_since) {
     this->gap_free_since = this->version;
   }
+  // Kept for the answer: ApplyNewest raises last_change beyond what the call
+  // asked for.
+  const RowVersion complete_since = this->last_change;
   const auto changes =
       co_await this->store->AwaitChanges(this->table, *this->version, wait);
   this->in_call = false;
@@ -256,7 +260,7 @@
     co_return;
   }
   if (this->events.on_fetched && !changes->rows.empty()) {
-    this->events.on_fetched(this->last_change, *changes);
+    this->events.on_fetched(complete_since, *changes);
   }
   this->Accept(*changes);
   this->was_poll_quiet = changes->rows.empty();
@@ -375,7 +379,7 @@
   if (std::exchange(state.is_arrival_timer_armed, true)) {
     return;
   }
-  state.arrival_timer.expires_after(state.awaits_relay ? kRelayTimeout
+  state.arrival_timer.expires_after(state.awaits_relay ? state.relay_timeout
                                                        : kArrivalTimeout);
   state.arrival_timer.async_wait([weak = std::weak_ptr<State>(this->state)](
                                      const boost::system::error_code& error) {
@@ -415,6 +419,23 @@
   }
 }
 
+bool TableFollower::ApplyNewest(const TableRows& newest) {
+  State& state = *this->state;
+  if (newest.version <= this->Version()) {
+    return false;
+  }
+  state.version = this->Version();
+  // This entry has not read what lies in between, and has not relayed it.
+  state.gap_free_since.reset();
+  state.Accept(newest);
+  state.last_change = newest.version;
+  return true;
+}
+
+void TableFollower::SetRelayTimeout(Duration timeout) {
+  this->state->relay_timeout = timeout;
+}
+
 void TableFollower::SetMaxRetryPause(Duration pause) {
   this->state->max_retry_pause = pause;
 }
--- a/src/table_follower.h
+++ b/src/table_follower.h
@@ -51,7 +51,7 @@
   void Start();
   void Stop();
   // Tells that a change of this version exists. Unless it arrives within
-  // kArrivalTimeout, or kRelayTimeout while another entry reads for this one,
+  // kArrivalTimeout, or the relay timeout while another entry reads for it,
   // the pending wait is abandoned and the store is called again.
   void ExpectVersion(RowVersion version);
   // Ends the pause after a failed call. For when the store is known to answer
@@ -65,6 +65,12 @@
   // Applies changes read by another entry, complete since version `after`.
   // Ignored when they leave a gap or bring nothing new.
   void ApplyRelayed(RowVersion after, const TableRows& changes);
+  // Applies the newest rows of the table up to a version as another entry holds
+  // them, whatever this one has missed. Only for tables of which each row says
+  // all by itself. Returns false, and does nothing, if they bring nothing new.
+  bool ApplyNewest(const TableRows& newest);
+  // Sets how long a change that another entry reads for this one may take.
+  void SetRelayTimeout(Duration timeout);
   // Sets the bound of the exponential backoff after failed calls.
   void SetMaxRetryPause(Duration pause);
   // The store version up to which the table is known; 0 before the first read.
@@ -76,7 +82,7 @@
   RowVersion GapFreeSince() const;
 
   static constexpr std::chrono::milliseconds kArrivalTimeout{250};
-  // Longer than the pause of readers between two calls.
+  // Default relay timeout. Longer than the pause of readers between two calls.
   static constexpr std::chrono::milliseconds kRelayTimeout{600};
   // Default bound of the backoff after failed calls.
   static constexpr std::chrono::milliseconds kMaxRetryPause{250};
--- a/test/correctness/table_follower_test.cc
+++ b/test/correctness/table_follower_test.cc
@@ -406,5 +406,45 @@
   CHECK(f.available == std::vector<bool>{false, true});
 }
 
+TableRows Newest(const std::string& key, std::uint64_t version) {
+  return {{{key, "", RowVersion(version), false}}, RowVersion(version)};
+}
+
+// Guards CONFIG: an entry went back to an older version when the store, which
+// had turned it away, answered it again.
+TEST_CASE("what another entry holds replaces a reading that is missing") {
+  FollowerFixture f;
+  f.Script(503, "");
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Script(200, RowsJson(9, RowJson("a", 9)));
+  f.Follow();
+  f.AwaitCalls(1);
+  CHECK(f.follower->ApplyNewest(Newest("a", 9)));
+  CHECK_FALSE(f.follower->ApplyNewest(Newest("a", 9)));
+  CHECK_FALSE(f.follower->ApplyNewest(Newest("a", 8)));
+  REQUIRE(f.changes.size() == 1);
+  CHECK(f.follower->Version() == RowVersion(9));
+  f.AwaitCalls(4);
+  REQUIRE(f.wholes.size() == 1);
+  CHECK(f.wholes[0].version == RowVersion(9));
+}
+
+// Guards CONFIG: a reader that got a row from another entry claimed to have
+// relayed it, and relayed later changes to entries that lacked it.
+TEST_CASE("a reader claims no gap-free reading over what others sent it") {
+  FollowerFixture f;
+  f.Script(200, RowsJson(7, RowJson("a", 5)));
+  f.Follow();
+  f.AwaitCalls(2);
+  CHECK(f.follower->GapFreeSince() == RowVersion(7));
+  CHECK(f.follower->ApplyNewest(Newest("a", 12)));
+  CHECK(f.follower->GapFreeSince() == RowVersion());
+  f.Script(200, RowsJson(12, RowJson("a", 12)));
+  f.Script(200, RowsJson(14, RowJson("b", 14)));
+  f.follower->ExpectVersion(RowVersion(14));
+  f.AwaitCalls(5);
+  CHECK(f.fetched_after == std::vector<RowVersion>{RowVersion(12)});
+}
+
 }  // namespace
 }  // namespace acacia
