--- a/src/peer_messages.h
+++ b/src/peer_messages.h
@@ -54,6 +54,8 @@
   std::vector<schema::QuarantinedRequestT> quarantined{};
   // The recipient passes the outcomes on to its cell.
   bool forward = false;
+  // The sender has only heard of the newest configuration row.
+  bool configuration_unread = false;
 };
 
 // What the sender's attempts showed since its last message.
@@ -80,6 +82,11 @@
 std::string SerializeRelayed(FollowedTable table,
                              RowVersion after,
                              const TableRows& changes);
+// Asks for the newest configuration row that the receiver holds, if it is newer
+// than version `after`.
+std::string SerializeRowRequest(const std::string& instance, RowVersion after);
+// `newest` holds the newest configuration row up to its version.
+std::string SerializeRowReply(const TableRows& newest);
 // Returns nullopt when the bytes are malformed.
 std::optional<schema::EntryMessageT> ParseEntryMessage(
     const std::string& bytes);
