Take an answer without a length as whole only after a clean end

Cause: a backend server may answer an upload before it has read it, send a part of a body without a length and reset the connection. The upload's failing write consumes the socket's error, and the read after it returns a clean end of file, so the part counted as the whole answer. A reset that follows the end of file is not reported to reads either. Statuses above 599 were relayed.

Change: an end of file ends an answer only if the whole request was sent, the socket has no error, its TCP state is not closed and no byte sent is unacknowledged (EndedCleanly). Otherwise the attempt ends as truncated: 502, or, after relaying has begun, no last chunk (HTTP/1.1) or a reset (HTTP/1.0). Statuses outside 200 to 599 other than 100, 102 and 103 are broken. A buffered request whose write fails after some bytes still gets the answer that has arrived. The client of the store and of the platform service (HttpClient) has the same check, and closes the connection after an interim or unknown status and after bytes that follow a reply: these made each later request of the connection get the reply before its own. Frames between entries carry their length, so a cut one was already an error.

--- a/src/backend_connection.cc
+++ b/src/backend_connection.cc
@@ -1,6 +1,8 @@
 #include "src/backend_connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio.hpp>
@@ -56,6 +58,25 @@
                     ignored);
 }
 
+bool EndedCleanly(net::ip::tcp::socket& socket) {
+  const int handle = socket.native_handle();
+  int error = 0;
+  socklen_t size = sizeof(error);
+  if (::getsockopt(handle, SOL_SOCKET, SO_ERROR, &error, &size) != 0 ||
+      error != 0) {
+    return false;
+  }
+  // A reset leaves this state even if its error has been consumed.
+  tcp_info info{};
+  size = sizeof(info);
+  if (::getsockopt(handle, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      info.tcpi_state == TCP_CLOSE) {
+    return false;
+  }
+  int unacknowledged = 0;
+  return ::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+}
+
 ConnectionPool::CheckOut ConnectionPool::TryCheckOut(const BackendId& backend,
                                                      ConnectionNeed need,
                                                      std::uint32_t limit,
--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -57,6 +57,13 @@
                       Duration user_timeout,
                       const KeepAliveProbes& keep_alive = {});
 
+// True if the peer ended the connection after it had received everything that
+// was sent: no error, no reset and no byte unacknowledged. An end of file alone
+// does not say so: a failed write takes the socket's error with it, and a reset
+// that follows the end of file is not reported to reads. Call after the end of
+// file.
+bool EndedCleanly(boost::asio::ip::tcp::socket& socket);
+
 // Limits the number of connections to each backend server and keeps idle ones
 // for reuse. The connection that became idle last is reused first. Thread-safe.
 class ConnectionPool {
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -25,6 +25,11 @@
 constexpr Duration kUserTimeout = std::chrono::seconds(3);
 constexpr KeepAliveProbes kShortProbes{1, 1, 2};
 
+// Statuses of a final reply. After an interim one the connection holds another
+// reply, which must not be taken for that of the next request.
+constexpr int kFirstStatus = 200;
+constexpr int kLastStatus = 599;
+
 http::request<http::string_body> ToBeast(HttpRequest& request,
                                          const std::string& host) {
   http::request<http::string_body> out;
@@ -115,11 +120,17 @@
   parser.body_limit(state.max_body_bytes);
   const auto [read_error, read] =
       co_await http::async_read(*state.stream, state.buffer, parser, kAwait);
-  if (read_error) {
+  const auto status = static_cast<int>(parser.get().result_int());
+  const bool broken = status < kFirstStatus || status > kLastStatus;
+  // Without a length, an end of file may cut the reply off.
+  const bool cut_off =
+      parser.need_eof() && !EndedCleanly(state.stream->socket());
+  if (read_error || broken || cut_off) {
     state.stream.reset();
     co_return tl::unexpected(HttpClientError::kNoReply);
   }
-  if (!parser.get().keep_alive()) {
+  // Bytes that follow the reply are no reply to the next request.
+  if (!parser.get().keep_alive() || state.buffer.size() > 0) {
     state.stream.reset();
   }
   co_return FromBeast(parser.get());
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -20,6 +20,7 @@
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 constexpr int kContinueStatus = 100;
 constexpr int kProcessingStatus = 102;
 constexpr int kEarlyHintsStatus = 103;
@@ -54,6 +55,9 @@
       co_return failed;
     }
     const int status = static_cast<int>(this->parser->get().result_int());
+    if (status > kLastStatus) {
+      co_return AttemptResult::kBroken;
+    }
     if (status >= kFirstFinalStatus && this->IsForOtherRequest()) {
       const bool next =
           skipped < kMaxSkippedAnswers && (co_await this->SkipAnswer());
@@ -149,9 +153,7 @@
     if (!has_room) {
       break;
     }
-    const BodyReadResult piece = co_await ReadSomeBody<false>(
-        this->connection->socket, this->connection->buffer, *this->parser,
-        net::buffer(scratch));
+    const BodyReadResult piece = co_await this->ReadAnswerPiece(scratch);
     if (piece.error) {
       this->last_error = piece.error;
       co_return this->ClassifyFailure(AttemptResult::kTruncated);
@@ -166,6 +168,29 @@
   co_return std::nullopt;
 }
 
+// Reads the next piece of the answer's body. An end of file ends an answer
+// without a length only if the whole request was sent and the connection ended
+// cleanly; otherwise the answer may have been cut off.
+net::awaitable<BodyReadResult> ProxyAttempt::ReadAnswerPiece(
+    std::vector<char>& scratch) {
+  BodyReadResult piece = co_await ReadSomeBody<false>(
+      this->connection->socket, this->connection->buffer, *this->parser,
+      net::buffer(scratch));
+  if (piece.error || !this->parser->need_eof() || !this->parser->is_done()) {
+    co_return piece;
+  }
+  // The end of an upload that has already been written may still be queued on
+  // the strand.
+  for (int turn = 0; this->uploading && turn < kMaxUnwindTurns; ++turn) {
+    co_await net::post(this->owner.Strand(), net::use_awaitable);
+  }
+  if (this->cancelled || this->timed_out || !this->request_sent ||
+      !EndedCleanly(this->connection->socket)) {
+    piece.error = http::error::partial_message;
+  }
+  co_return piece;
+}
+
 net::awaitable<std::optional<AttemptResult>> ProxyAttempt::ParseAnswerHead() {
   boost::beast::flat_buffer& buffer = this->connection->buffer;
   this->parser = std::make_unique<Parser>();
@@ -333,6 +358,7 @@
   }
   for (;;) {
     if (piece.error && piece.error != http::error::need_more) {
+      this->last_error = piece.error;
       co_return this->ClassifyFailure(AttemptResult::kTruncated);
     }
     const bool done = this->parser->is_done();
@@ -351,9 +377,7 @@
       co_return this->final_result;
     }
     this->RestartProgressTimeout();
-    piece = co_await ReadSomeBody<false>(this->connection->socket,
-                                         this->connection->buffer,
-                                         *this->parser, net::buffer(scratch));
+    piece = co_await this->ReadAnswerPiece(scratch);
   }
 }
 
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -23,7 +23,6 @@
 // Upper bound of TCP_USER_TIMEOUT, after which unacknowledged bytes to a
 // backend server end the connection.
 constexpr Duration kMaxUserTimeout = std::chrono::seconds(5);
-constexpr int kMaxUnwindTurns = 16;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 }  // namespace
@@ -100,7 +99,13 @@
   if (!this->exchange.body_complete) {
     this->StartUpload();
   } else if (!co_await this->SendBuffered()) {
-    co_return this->ClassifyFailure(AttemptResult::kBroken);
+    const bool may_be_answered =
+        this->may_have_sent_bytes && !this->cancelled && !this->timed_out;
+    if (!may_be_answered) {
+      co_return this->ClassifyFailure(AttemptResult::kBroken);
+    }
+    // The backend server may have answered before it closed the connection.
+    this->upload_failed = true;
   }
   if (const auto failed = co_await this->ReadAnswerHead()) {
     co_return *failed;
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -29,6 +29,8 @@
 
 inline constexpr std::size_t kRelayBytes = 16 * 1024;
 inline constexpr int kFirstServerError = 500;
+// Turns of the strand within which an upload that has ended is finished.
+inline constexpr int kMaxUnwindTurns = 16;
 
 // Default size up to which a request body is buffered so that it can be sent
 // again.
@@ -191,6 +193,8 @@
   boost::asio::awaitable<bool> SkipAnswer();
   bool IsForOtherRequest() const;
   boost::asio::awaitable<std::optional<AttemptResult>> BufferAnswer();
+  boost::asio::awaitable<BodyReadResult> ReadAnswerPiece(
+      std::vector<char>& scratch);
   boost::asio::awaitable<AttemptResult> RelayBuffered(
       boost::beast::http::response<boost::beast::http::buffer_body> answer);
   void RecordAnswerHeaders();
