Test what keeps a hedge back: a queue, a quarantine, suspects

Cause: the test of the queue passed also without the check, as full slots kept the hedge back; the quarantine and suspects were not tested. Change: long work waits while the hedge of short work would find a slot; a request whose content is quarantined while it runs; suspects at FleetPool.

--- a/test/correctness/hedge_policy_test.cc
+++ b/test/correctness/hedge_policy_test.cc
@@ -5,8 +5,10 @@
 #include <numeric>
 #include <vector>
 
+#include "src/fleet_pool.h"
 #include "src/hedge_limit.h"
 #include "src/random_source.h"
+#include "src/request_quarantine.h"
 #include "test/dispatch_fixture.h"
 
 namespace acacia {
@@ -136,13 +138,14 @@
 
 struct HedgeFixture : DispatchFixture {
   // Backend server 2 is a spare one.
-  HedgeFixture() : DispatchFixture(3) {
+  explicit HedgeFixture(const ChooserFactory& make_chooser = {})
+      : DispatchFixture(3) {
     this->view.policy.hedge_percent = 10;
     this->view.policy.retry_window = RetryWindow{0.2, 100, seconds(10)};
     this->dispatcher = std::make_unique<Dispatcher>(
         ServiceName("service"), InstanceId("self"),
-        std::make_unique<SeededRandom>(1), this->view, this->now,
-        ChooserFactory(), nullptr, [this](HedgeEvent event) {
+        std::make_unique<SeededRandom>(1), this->view, this->now, make_chooser,
+        &this->quarantine, [this](HedgeEvent event) {
           ++this->events[static_cast<std::size_t>(event)];
         });
     for (int i = 0; i < 100; ++i) {
@@ -164,6 +167,7 @@
   }
 
   std::array<int, kHedgeEventCount> events{};
+  RequestQuarantine quarantine{std::make_unique<SeededRandom>(1)};
 };
 
 TEST_CASE("A slow attempt is hedged after the measured percentile") {
@@ -217,22 +221,54 @@
   CHECK(f.Events(HedgeEvent::kRefusedByLimit) == 0);
 }
 
+// Guards against a hedge that spreads a request which crashes backend servers.
+TEST_CASE("A request whose content is quarantined meanwhile is not hedged") {
+  HedgeFixture f;
+  Work work = f.Safe();
+  work.fingerprint = RequestFingerprint(7);
+  const auto start = f.Only<StartAttempt>(f.Request(work));
+  for (int i = 1; i <= RequestQuarantine::kMinCrashes; ++i) {
+    f.quarantine.OnBroken(work.fingerprint, BackendId("c" + std::to_string(i)),
+                          f.now, f.now);
+  }
+  f.Advance(milliseconds(110));
+  CHECK(f.Events(HedgeEvent::kSent) == 0);
+}
+
+// Guards against a hedge that goes from a slow backend server to a faulty one.
+TEST_CASE("No hedge goes to a suspect") {
+  HedgeFixture f([](const ServiceName& service, const InstanceId& /*self*/,
+                    RandomSource& random) {
+    return std::make_unique<FleetPool>(service, FailureDomain("d"), random);
+  });
+  const bool has_suspects = GENERATE(false, true);
+  const auto start = f.Only<StartAttempt>(f.Request(f.Safe()));
+  std::vector<schema::BackendEvidenceT> evidence(3);
+  for (std::uint32_t i = 0; i < evidence.size(); ++i) {
+    evidence[i].id = f.Id(i).Value();
+    evidence[i].failures = has_suspects && !(start.backend == f.Id(i)) ? 2 : 0;
+  }
+  f.dispatcher->OnFleetEvidence("other", evidence, f.now);
+  f.Advance(milliseconds(110));
+  CHECK(f.Events(HedgeEvent::kSent) == (has_suspects ? 0 : 1));
+}
+
 // Guards against hedges that take the slots for which requests wait.
 TEST_CASE("Nothing is hedged while requests wait") {
   HedgeFixture f;
-  std::vector<StartAttempt> running;
-  // Fills the slots; the rest waits.
-  for (int i = 0; i < 40; ++i) {
-    const auto actions = f.Request(f.Safe());
-    if (f.Count<StartAttempt>(actions) > 0) {
-      running.push_back(f.Only<StartAttempt>(actions));
-    }
+  const bool has_queue = GENERATE(false, true);
+  // Long work may take a part of the slots only, so it waits although the hedge
+  // of short work would find a slot.
+  std::size_t started = 0;
+  for (int i = 0; has_queue && i < 6; ++i) {
+    Work work = f.NewWork();
+    work.work_class = WorkClass::kLong;
+    started += f.Count<StartAttempt>(f.Request(work));
   }
-  REQUIRE(running.size() < 40);
-  for (int i = 0; i < 20; ++i) {
-    f.Advance(milliseconds(10));
-  }
-  CHECK(f.Events(HedgeEvent::kSent) == 0);
+  REQUIRE(started < 6);
+  f.Only<StartAttempt>(f.Request(f.Safe()));
+  f.Advance(milliseconds(110));
+  CHECK(f.Events(HedgeEvent::kSent) == (has_queue ? 0 : 1));
 }
 
 // Guards against hedges at a service whose load is known to be high.
