--- a/src/hedge_limit.cc
+++ b/src/hedge_limit.cc
@@ -38,9 +38,8 @@
   ++this->requests;
   constexpr double kWindowSeconds =
       std::chrono::duration<double>(kWindow).count();
-  const double max_credit =
-      std::max(1.0, kMaxCreditSeconds * this->share * this->requests /
-                        kWindowSeconds);
+  const double max_credit = std::max(
+      1.0, kMaxCreditSeconds * this->share * this->requests / kWindowSeconds);
   this->credit = std::min(this->credit + this->share, max_credit);
 }
 
--- a/test/correctness/configuration_check_test.cc
+++ b/test/correctness/configuration_check_test.cc
@@ -126,6 +126,20 @@
               "warning service idle: no route uses it"});
 }
 
+// Guards against limits that entries ignore without a word.
+TEST_CASE("numbers that cannot be read are found") {
+  CHECK(Check(Whole({Service("kehto"),
+                     Route("a", "/a", R"("service":"kehto","timeoutS":"2",
+                                         "maxAttempts":-1)"),
+                     Resource("limits", "", R"("maxBodyBytes":1.5)")})) ==
+        Lines{"warning limits: its maxBodyBytes is no valid number and is "
+              "ignored",
+              "warning route a: its maxAttempts is no valid number and is "
+              "ignored",
+              "warning route a: its timeoutS is no valid number and is "
+              "ignored"});
+}
+
 TEST_CASE("limits that contradict each other are found") {
   CHECK(Check(Whole(
             {Service("kehto"),
