--- a/src/account_quota.h
+++ b/src/account_quota.h
@@ -45,8 +45,10 @@
  public:
   // How long the last fraction holds while the keeper is silent.
   static constexpr Duration kHoldTime = std::chrono::seconds(8);
-  // A fraction that its keeper, still heard, does not repeat has ended.
-  static constexpr Duration kFractionExpiry = std::chrono::milliseconds(2500);
+  // A fraction that its keeper does not repeat has ended. The keeper may have
+  // ended without this entry noticing, so this is longer than a change of
+  // keepers.
+  static constexpr Duration kFractionExpiry = std::chrono::seconds(10);
 
   explicit QuotaLimiter(std::unique_ptr<RandomSource> random);
 
--- a/src/fleet_quota.cc
+++ b/src/fleet_quota.cc
@@ -134,9 +134,14 @@
 }
 
 void FleetQuota::OnReply(const schema::QuotaReplyT& reply, TimePoint now) {
-  this->reach.OnAnswered(InstanceId(reply.instance), now);
+  const InstanceId from(reply.instance);
+  this->reach.OnAnswered(from, now);
+  this->silent.erase(from);
   for (const schema::AccountFraction& each : reply.fractions) {
-    this->limiter.OnFraction(each, now);
+    // While the keeper changes, the one before sees only part of the demand.
+    if (this->KeeperOf(AccountHash(each.account())) == from) {
+      this->limiter.OnFraction(each, now);
+    }
   }
 }
 
@@ -177,8 +182,7 @@
 
 void FleetQuota::AddReplies(std::vector<QuotaMessage>& messages,
                             TimePoint now) {
-  KeeperView view;
-  view.entries = this->entries;
+  KeeperView view{this->entries};
   view.reach = this->reach.Share(now);
   view.is_keeper_of = [this](AccountHash account) {
     return this->KeeperOf(account) == this->self;
--- a/src/quota_keeper.cc
+++ b/src/quota_keeper.cc
@@ -27,6 +27,8 @@
 constexpr double kLevelTimeS = 0.3;
 constexpr double kLevelRequests = 4;
 constexpr double kMaxLevelTimeS = 5;
+constexpr double kMinLevel = 2;
+constexpr double kReactionTimeS = 0.15;
 // A debt is paid back at the cost of the current requests, but never of all.
 constexpr double kMinTargetShare = 0.05;
 // Debts beyond this are older than the window of the bound or assumed.
@@ -52,7 +54,7 @@
 constexpr double kUrgentFactor = 1.4;
 constexpr Duration kSendInterval = std::chrono::milliseconds(80);
 constexpr Duration kUrgentInterval = std::chrono::milliseconds(40);
-// Half the time after which a fraction expires at an entry.
+// Well within the time after which a fraction expires at an entry.
 constexpr Duration kRefreshInterval = std::chrono::milliseconds(1000);
 constexpr Duration kReporterRecent = std::chrono::seconds(3);
 // An account ceases to be limited when nothing was refused for this long.
@@ -106,7 +108,8 @@
   }
   const double stated = static_cast<double>(use.fraction()) / kWholeFraction;
   if (is_takeover) {
-    account.level = std::min(account.level, kSpareRequests);
+    // What the keeper before has admitted is not known here.
+    account.level = std::min(account.level, 0.0);
   }
   if (is_takeover || (is_new && able < kTakeoverTime)) {
     account.fraction = stated;
@@ -195,7 +198,8 @@
   const double burst_cut = std::min(account.quota.burst, kWindowS * excess);
   double allowed_rate = rate - (excess - burst_cut / kWindowS);
   double burst = account.quota.burst - burst_cut;
-  if (now >= account.max_fraction_until && !view.is_keeper_of(hash)) {
+  account.is_kept_here = view.is_keeper_of(hash);
+  if (now >= account.max_fraction_until && !account.is_kept_here) {
     // The reporters do not reach the keeper, which does not see them.
     allowed_rate =
         rate * static_cast<double>(account.reporters.size()) /
@@ -211,10 +215,19 @@
       std::max(allowed_rate + account.level / level_time - silent_rate,
                kMinTargetShare * allowed_rate);
   const double demand = std::max(account.fast_demand, account.slow_demand);
-  double fraction = target < demand ? target / demand : 1.0;
+  // A burst is admitted whole until the bucket holds only what arrives before a
+  // lower fraction is in force everywhere.
+  const bool has_room =
+      account.level > kMinLevel + kReactionTimeS * account.fast_demand;
+  double fraction = has_room || target >= demand ? 1.0 : target / demand;
   if (now < account.max_fraction_until) {
     fraction = std::min(fraction, account.max_fraction);
   }
+  // The demand that is reported here falls while reporters change to a better
+  // keeper, which is no reason to admit more of it.
+  if (!account.is_kept_here) {
+    fraction = std::min(fraction, account.fraction);
+  }
   this->SetFraction(hash, account, fraction, now);
 }
 
@@ -247,6 +260,7 @@
   const bool is_lower = fraction * kUrgentFactor < account.broadcast_fraction;
   const bool is_broadcast =
       view.entries.size() <= kSmallFleetEntries && account.is_limited &&
+      account.is_kept_here &&
       (is_lower || now - account.broadcast_at >= kRefreshInterval);
   if (is_broadcast) {
     account.broadcast_fraction = fraction;
--- a/src/quota_keeper.h
+++ b/src/quota_keeper.h
@@ -29,12 +29,12 @@
 // The keeper's view of the fleet.
 struct KeeperView {
   // Every entry of the fleet, including this one.
-  std::vector<InstanceId> entries;
+  const std::vector<InstanceId>& entries;
   // Share of the fleet that answers this entry.
   double reach = 1;
   // Whether this entry knows no better keeper of the account that answers it.
-  std::function<bool(AccountHash)> is_keeper_of;
-  std::function<std::optional<AccountQuota>(AccountHash)> quota_of;
+  std::function<bool(AccountHash)> is_keeper_of{};
+  std::function<std::optional<AccountQuota>(AccountHash)> quota_of{};
 };
 
 // The fractions to send to each entry.
@@ -99,6 +99,8 @@
     double fast_demand = 0;
     double slow_demand = 0;
     double fraction = 1;
+    // No better keeper answers this entry.
+    bool is_kept_here = true;
     // A new keeper does not raise the fraction above those in force.
     double max_fraction = 1;
     TimePoint max_fraction_until{};
