--- a/src/entry_peers.h
+++ b/src/entry_peers.h
@@ -82,9 +82,9 @@
     this->configuration_age = age;
   }
   void RequestRow(const InstanceId& from, RowVersion after);
-  // `reply` is made by SerializeRowReply.
-  void SendRow(const InstanceId& to, const std::string& reply) {
-    this->Send(to, reply);
+  // Sends the newest configuration row up to a version, without keys.
+  void SendRow(const InstanceId& to, const TableRows& newest) {
+    this->Send(to, SerializeRowReply(newest));
   }
   // Makes the next call of Share send a heartbeat even if none is due.
   void ShareSoon() { this->share_soon = true; }
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <utility>
 
+#include "src/configuration_exchange.h"
 #include "src/entry_metrics.h"
 #include "src/entry_peers.h"
 #include "src/fleet_state.h"
@@ -17,7 +18,6 @@
 #include "src/peer_messages.h"
 #include "src/random_source.h"
 #include "src/request_quarantine.h"
-#include "src/row_request.h"
 #include "src/table_follower.h"
 
 namespace acacia {
@@ -41,9 +41,6 @@
 // Listeners ask other entries for a configuration that is not relayed before
 // they ask the store, so that a large one is read from the store by few.
 constexpr Duration kConfigurationRelayTimeout = std::chrono::milliseconds(1200);
-// A row of the store is at most 64 KB. The digests that replace the keys of
-// accounts may be longer than these.
-constexpr std::size_t kMaxRowReplyBytes = 128 * 1024;
 // Pause before a failed write of this entry's row is retried.
 constexpr std::chrono::milliseconds kRowRetryPause{500};
 // While stopping, how often this entry checks whether the write of its row has
@@ -84,7 +81,6 @@
   TableVersions GapFreeSince() const;
   void OnPeerVersions(const TableVersions& rows);
   void UpdateConfigurationAge();
-  void KeepConfigurationRow(const TableRow& row, bool is_newer);
   void OnConfigurationHolder(const InstanceId& from, RowVersion version);
   void OnRowRequest(const InstanceId& from, RowVersion after);
   void OnRowReply(const TableRows& newest);
@@ -123,11 +119,7 @@
   bool stopping = false;
   std::uint64_t sequence = 0;
   Generation generation;
-  // The configuration in force, for other entries, without the keys of
-  // accounts. Its version is that of the newest row read.
-  TableRow configuration_row;
-  RowRequester row_requester{random};
-  RowReplyBudget reply_budget;
+  ConfigurationExchange configurations;
   std::unique_ptr<RowStore> own_rows;
   // Version of this entry's row in the members table; 0 while it is not known
   // to be written.
@@ -154,6 +146,7 @@
       random(settings.seed != 0 ? settings.seed : DrawSeed()),
       directory(DescribeSelf(settings, clock)),
       self(DescribeSelf(settings, clock)),
+      configurations(this->adapter.configuration_key, random),
       own_rows(this->adapter.make_store()),
       peers(strand,
             self,
@@ -317,7 +310,9 @@
     return;
   }
   const bool is_newer = configuration->generation > this->generation;
-  this->KeepConfigurationRow(row, is_newer);
+  this->configurations.OnRowRead(
+      row.version, is_newer ? std::optional(this->adapter.hide_keys(row.value))
+                            : std::nullopt);
   LogEvent(is_newer ? "configuration_read" : "configuration_not_newer")
       .With("generation", configuration->generation)
       .With("in_force", this->generation)
@@ -565,25 +560,14 @@
   this->peers.SetConfigurationAge(age);
 }
 
-void HostControl::State::KeepConfigurationRow(const TableRow& row,
-                                              bool is_newer) {
-  TableRow& kept = this->configuration_row;
-  kept.key = row.key;
-  kept.version = NewerVersion(kept.version, row.version);
-  if (is_newer) {
-    kept.value = this->adapter.hide_keys ? this->adapter.hide_keys(row.value)
-                                         : row.value;
-  }
-}
-
 void HostControl::State::OnConfigurationHolder(const InstanceId& from,
                                                RowVersion version) {
   if (version > this->Follower(FollowedTable::Configuration).Version()) {
-    this->row_requester.OnHolder(from,
-                                 this->directory.IsDomainPeer(from)
-                                     ? HolderDistance::kSameDomain
-                                     : HolderDistance::kOtherDomain,
-                                 version);
+    this->configurations.Requester().OnHolder(
+        from,
+        this->directory.IsDomainPeer(from) ? HolderDistance::kSameDomain
+                                           : HolderDistance::kOtherDomain,
+        version);
   }
 }
 
@@ -591,7 +575,7 @@
 // some time, whether or not the store answers.
 void HostControl::State::RequestConfiguration() {
   const TableFollower& follower = this->Follower(FollowedTable::Configuration);
-  const auto holder = this->row_requester.Poll(
+  const auto holder = this->configurations.Requester().Poll(
       follower.Version(), follower.NewestKnownRow(), this->clock.Now());
   if (holder && !this->stopping) {
     LogEvent("configuration_requested")
@@ -604,28 +588,23 @@
 
 void HostControl::State::OnRowRequest(const InstanceId& from,
                                       RowVersion after) {
-  const RowVersion version =
-      this->Follower(FollowedTable::Configuration).Version();
-  const bool has_newer = this->generation > Generation() && version > after;
-  if (!has_newer || this->stopping) {
-    return;
-  }
-  const std::string reply =
-      SerializeRowReply({{this->configuration_row}, version});
-  if (reply.size() <= kMaxRowReplyBytes &&
-      this->reply_budget.Take(reply.size(), this->clock.Now())) {
-    this->peers.SendRow(from, reply);
+  const auto newest = this->configurations.ReplyTo(
+      after, this->Follower(FollowedTable::Configuration).Version(),
+      this->clock.Now());
+  if (newest && !this->stopping) {
+    this->peers.SendRow(from, *newest);
   }
 }
 
+// What cannot be read is ignored: the store, or another entry, may have better.
 void HostControl::State::OnRowReply(const TableRows& newest) {
-  const bool is_expected =
-      newest.rows.size() == 1 &&
-      newest.rows.front().key == this->adapter.configuration_key &&
-      newest.rows.front().value.size() <= kMaxRowReplyBytes;
+  const bool is_readable =
+      this->configurations.IsReply(newest) &&
+      this->adapter.read_configuration(newest.rows.front().value,
+                                       MakeServicePolicy(this->host));
   const Generation before = this->generation;
   TableFollower& follower = this->Follower(FollowedTable::Configuration);
-  if (!is_expected || !follower.ApplyNewest(newest)) {
+  if (!is_readable || !follower.ApplyNewest(newest)) {
     return;
   }
   LogEvent("configuration_from_peer")
--- a/src/host_control.h
+++ b/src/host_control.h
@@ -36,8 +36,8 @@
       read_configuration;
   // Returns the text of a configuration without the keys of its accounts, which
   // read_configuration reads like the original. Entries store and send this
-  // form. If not set, the text holds no keys.
-  std::function<std::string(const std::string& text)> hide_keys{};
+  // form.
+  std::function<std::string(const std::string& text)> hide_keys;
   std::function<tl::expected<RegisteredBackend, std::string>(
       const std::string& name,
       const std::string& text)>
--- a/test/correctness/account_decoder_test.cc
+++ b/test/correctness/account_decoder_test.cc
@@ -111,6 +111,10 @@
   CHECK(read->keyed_accounts->Find("secret-3")->id == AccountId("bert"));
   CHECK(HideKeys(hidden) == hidden);
   CHECK(HideKeys("[").empty());
+  // A number that is read as infinite, which JSON cannot express.
+  CHECK(DecodeConfiguration(
+      HideKeys(WithAccounts(Account("anna", R"({"apiKeys":[],"x":1e9999})"))),
+      {}));
 }
 
 }  // namespace
--- a/test/correctness/row_request_test.cc
+++ b/test/correctness/row_request_test.cc
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "src/configuration_exchange.h"
+
 namespace acacia {
 namespace {
 
@@ -113,6 +115,30 @@
   CHECK_FALSE(budget.Take(kRow, now));
 }
 
+// Guards CONFIG: an entry handed on a row that was not the newest that it had
+// read, or none while it had one.
+TEST_CASE("an entry hands on the row in force with the newest version read") {
+  SeededRandom random(1);
+  ConfigurationExchange exchange("config", random);
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  CHECK_FALSE(exchange.ReplyTo(RowVersion(), RowVersion(4), now));
+  exchange.OnRowRead(RowVersion(5), "first");
+  // A restored store shows an older configuration with a newer version.
+  exchange.OnRowRead(RowVersion(7), std::nullopt);
+  const auto reply = exchange.ReplyTo(RowVersion(5), RowVersion(8), now);
+  REQUIRE(reply);
+  CHECK(reply->version == RowVersion(8));
+  REQUIRE(exchange.IsReply(*reply));
+  CHECK(reply->rows[0].value == "first");
+  CHECK(reply->rows[0].version == RowVersion(7));
+  CHECK_FALSE(exchange.ReplyTo(RowVersion(8), RowVersion(8), now));
+  TableRows other = *reply;
+  other.rows[0].key = "other";
+  CHECK_FALSE(exchange.IsReply(other));
+  other.rows.clear();
+  CHECK_FALSE(exchange.IsReply(other));
+}
+
 // Entries of three failure domains whose messages take 1 ms, or 4 ms between
 // failure domains. Datagrams are lost at a given rate, and replies, which
 // are sent over TCP, at a sixth of it. Each entry announces what it
--- a/test/fuzz/store_rows_test.cc
+++ b/test/fuzz/store_rows_test.cc
@@ -2,6 +2,7 @@
 // decoders, the registry, the snapshot and one service's decisions.
 #include <catch2/catch.hpp>
 
+#include "platform/account_decoder.h"
 #include "platform/configuration_decoder.h"
 #include "platform/registration_decoder.h"
 #include "src/dispatcher.h"
@@ -27,6 +28,8 @@
     R"({"resourceKind":"services","metadata":{"name":"kehto"},)"
     R"("spec":{"healthPath":"/health","maxConns":330}},)"
     R"({"resourceKind":"services","metadata":{"name":"uniikki"},"spec":{}},)"
+    R"({"resourceKind":"tenants","metadata":{"name":"anna"},"spec":{)"
+    R"("apiKeys":["k1","k2"],"priority":1,"ratePerS":12.5,"burst":30}},)"
     R"({"resourceKind":"limits","metadata":{},"spec":{"maxBodyBytes":100}}]})";
 constexpr std::string_view kRegistration =
     R"({"service":"kehto","address":"127.0.0.1:8080","zone":"a","slots":6,)"
@@ -110,9 +113,15 @@
 
 void StoreRows::Step() {
   this->now += milliseconds(this->random.Below(2000));
-  if (auto decoded = platform::DecodeConfiguration(
-          Spoil(kConfiguration, this->random), {})) {
+  const std::string text = Spoil(kConfiguration, this->random);
+  if (auto decoded = platform::DecodeConfiguration(text, {})) {
     ++this->applied;
+    // What entries hand on is as readable as what the store holds.
+    const auto hidden =
+        platform::DecodeConfiguration(platform::HideKeys(text), {});
+    REQUIRE(hidden);
+    CHECK((hidden->keyed_accounts == nullptr) ==
+          (decoded->keyed_accounts == nullptr));
     this->configuration =
         std::make_shared<const Configuration>(*std::move(decoded));
   }
