--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -81,10 +81,13 @@
     route.idempotency = Idempotency::kByMethod;
     configuration->services.emplace(service.name, service);
     configuration->routes.push_back(route);
+    configuration->keyed_accounts = this->accounts;
     this->entry->ApplyConfiguration(configuration);
   }
 
   Generation generation{3};
+  // Client accounts of the next configuration.
+  std::shared_ptr<const AccountTable> accounts;
   std::uint64_t max_body_bytes = 1000;
 };
 
@@ -135,6 +138,44 @@
   CHECK(left > 0);
 }
 
+// Guards against requests of a limited account that reach a backend server, and
+// against charging for requests that did not run.
+TEST_CASE("an account over its limit gets 429 until the limit is raised") {
+  std::atomic<int> runs{0};
+  std::atomic<bool> refuses{true};
+  HostFixture f([&](TextStream& stream, const std::string&) {
+    if (refuses) {
+      return stream.Send(
+          "HTTP/1.1 503 Service Unavailable\r\n"
+          "X-Acaciaswitch-Request-Id: abc\r\nContent-Length: 0\r\n\r\n");
+    }
+    ++runs;
+    return stream.Send(SignedAnswer("abc", "body"));
+  });
+  const auto limit = [&f](double rate, double burst) {
+    auto accounts = std::make_shared<AccountTable>();
+    accounts->Add({AccountId("acme"), std::nullopt, rate, burst}, {"key"});
+    f.accounts = accounts;
+    f.Apply();
+  };
+  const std::string request =
+      "POST /b/x HTTP/1.1\r\nHost: h\r\nX-Acaciaswitch-Request-Id: abc\r\n"
+      "Authorization: Bearer key\r\nAcacia-Account: acme\r\n"
+      "Content-Length: 2\r\n\r\nhi";
+  limit(0.001, 2);
+  CHECK(StatusOf(f.RoundTrip(request)) == 503);
+  CHECK(StatusOf(f.RoundTrip(request)) == 503);
+  refuses = false;
+  CHECK(StatusOf(f.RoundTrip(request)) == 200);
+  CHECK(StatusOf(f.RoundTrip(request)) == 200);
+  const std::string answer = f.RoundTrip(request);
+  CHECK(StatusOf(answer) == 429);
+  CHECK(Field(answer, "Retry-After") != "");
+  CHECK(runs == 2);
+  limit(1000, 1000);
+  CHECK(StatusOf(f.RoundTrip(request)) == 200);
+}
+
 TEST_CASE("a late answer to another request is skipped") {
   HostFixture f([](TextStream& stream, const std::string&) {
     stream.Send(SignedAnswer("other", "wrong"));
