Charge cut-off reporters of accounts below their limit, and spread that a keeper has ended

Change: reporters that do not answer the keeper are charged at their last rate whether limited or not; a fraction from another keeper than the one in use makes an entry ask the latter; a takeover holds the fraction for 3 s.

--- a/src/fleet_quota.cc
+++ b/src/fleet_quota.cc
@@ -139,8 +139,13 @@
   this->silent.erase(from);
   for (const schema::AccountFraction& each : reply.fractions) {
     // While the keeper changes, the one before sees only part of the demand.
-    if (this->KeeperOf(AccountHash(each.account())) == from) {
+    const InstanceId best = this->KeeperOf(AccountHash(each.account()));
+    if (best == from) {
       this->limiter.OnFraction(each, now);
+    } else {
+      // The sender found it silent, which this entry, with few requests of the
+      // account, would notice late.
+      this->reach.Ask(best);
     }
   }
 }
@@ -190,6 +195,9 @@
   view.quota_of = [this](AccountHash account) {
     return this->limiter.QuotaOf(account);
   };
+  view.is_silent = [this](const InstanceId& instance) {
+    return this->silent.contains(instance);
+  };
   FractionsByEntry replies = this->keeper.OnTick(view, now);
   for (auto& [instance, reporter] : this->reporters) {
     if (reporter.is_reply_due && now - reporter.replied_at >= kReplyInterval) {
--- a/src/quota_keeper.cc
+++ b/src/quota_keeper.cc
@@ -40,7 +40,9 @@
 constexpr double kMinRecentAssumed = 0.3;
 // Limited entries report every 0.4 s, so two reports were lost.
 constexpr Duration kReporterSilence = std::chrono::seconds(1);
-constexpr Duration kTakeoverTime = std::chrono::seconds(2);
+// A new keeper finds the one before silent in 1 s; the others, which learn of
+// it then, in another second.
+constexpr Duration kTakeoverTime = std::chrono::seconds(3);
 constexpr Duration kAccountExpiry = std::chrono::seconds(30);
 constexpr Duration kReporterExpiry = std::chrono::seconds(15);
 // Unseen admissions of cut-off entries that fit within the bound: its factor
@@ -160,12 +162,18 @@
   account.reported_at = now;
 }
 
-double QuotaKeeper::ChargeSilent(Account& account, TimePoint now) {
+double QuotaKeeper::ChargeSilent(Account& account,
+                                 const KeeperView& view,
+                                 TimePoint now) {
   double rate = 0;
   for (auto& [instance, reporter] : account.reporters) {
     const Duration silence = now - reporter.reported_at;
-    if (silence <= kReporterSilence || reporter.stated >= 1 ||
-        reporter.recent < kMinRecentAssumed) {
+    // Entries without a fraction report only requests, so that their silence
+    // shows only when they are asked.
+    const bool is_silent = silence > kReporterSilence &&
+                           reporter.recent >= kMinRecentAssumed &&
+                           (reporter.stated < 1 || view.is_silent(instance));
+    if (!is_silent) {
       continue;
     }
     const double own_rate = reporter.recent / kRateTimeS;
@@ -190,7 +198,7 @@
       Decay(account.fast_demand, elapsed, FastTime(account.quota));
   account.slow_demand =
       Decay(account.slow_demand, elapsed, SlowTime(account.quota));
-  const double silent_rate = this->ChargeSilent(account, now);
+  const double silent_rate = this->ChargeSilent(account, view, now);
   // Entries that are cut off admit up to their equal share. The burst, and then
   // the rate, are reduced by what the margin of the bound does not cover.
   const double unseen = std::max((1 - view.reach) * rate - silent_rate, 0.0);
--- a/src/quota_keeper.h
+++ b/src/quota_keeper.h
@@ -35,6 +35,8 @@
   // Whether this entry knows no better keeper of the account that answers it.
   std::function<bool(AccountHash)> is_keeper_of{};
   std::function<std::optional<AccountQuota>(AccountHash)> quota_of{};
+  // Whether the entry leaves this one's messages unanswered.
+  std::function<bool(const InstanceId&)> is_silent{};
 };
 
 // The fractions to send to each entry.
@@ -120,7 +122,7 @@
               const KeeperView& view,
               TimePoint now);
   // Charges the assumed admissions of silent entries; returns their rate.
-  double ChargeSilent(Account& account, TimePoint now);
+  double ChargeSilent(Account& account, const KeeperView& view, TimePoint now);
   void SetFraction(AccountHash hash,
                    Account& account,
                    double fraction,
