Refuse waiting requests early, and tell lower ranks to return later

Cause: a request that could not be served waited until its start deadline before its 503 (a transfer 1.2 s of its 1.5 s), and Retry-After did not depend on what waited or on the rank. Change: where ranks differ, a waiting request is refused after a third of its time when the rates of arrivals and starts of the last seconds do not bring its turn before its start deadline. Retry-After counts the waiting requests of its rank and above in the entries of the cell, and grows by half for each lower rank. The log line service_overloaded has the counts.

--- a/src/admission_queue.cc
+++ b/src/admission_queue.cc
@@ -10,6 +10,10 @@
 // is served newest first.
 constexpr Duration kNewestFirstThreshold = std::chrono::milliseconds(100);
 
+// Rates change within seconds, so a request whose turn would not come by them
+// still waits for this part of its time.
+constexpr int kWaitPart = 3;
+
 }  // namespace
 
 AdmissionQueue::ClassQueue& AdmissionQueue::QueueOf(WorkClass work_class) {
@@ -79,7 +83,8 @@
   rank.accounts[waiting.account].emplace(sequence, waiting.request);
   ++queue.size;
   this->by_start_deadline.emplace(waiting.start_deadline, waiting.request);
-  this->requests.emplace(waiting.request, QueuedRequest{waiting, sequence});
+  this->requests.emplace(waiting.request,
+                         QueuedRequest{waiting, sequence, now});
   return victim;
 }
 
@@ -154,6 +159,47 @@
   this->Remove(request);
 }
 
+std::vector<RequestId> AdmissionQueue::FindHopeless(TimePoint now) const {
+  std::vector<RequestId> hopeless;
+  for (const ClassQueue& queue : this->classes) {
+    std::size_t ahead = 0;
+    for (const auto& [rank, rank_queue] : queue.ranks) {
+      this->AddHopeless(rank, rank_queue, ahead, hopeless, now);
+      for (const auto& [account, requests] : rank_queue.accounts) {
+        ahead += requests.size();
+      }
+    }
+  }
+  return hopeless;
+}
+
+void AdmissionQueue::AddHopeless(std::uint32_t rank,
+                                 const RankQueue& queue,
+                                 std::size_t ahead,
+                                 std::vector<RequestId>& hopeless,
+                                 TimePoint now) const {
+  // Newer requests of the rank go first, so they count like higher ranks.
+  const double drain_rate =
+      this->shares.StartRate(now) - this->shares.ArrivalRate(rank, now);
+  for (const auto& [account, requests] : queue.accounts) {
+    std::size_t position = ahead;
+    for (auto each = requests.rbegin(); each != requests.rend(); ++each) {
+      // One of each other account goes before the next of this one.
+      position += queue.accounts.size();
+      const QueuedRequest& queued = this->requests.at(each->second);
+      const Duration patience =
+          (queued.waiting.start_deadline - queued.pushed_at) / kWaitPart;
+      const std::chrono::duration<double> left =
+          queued.waiting.start_deadline - now;
+      const bool is_in_time = drain_rate > 0 && static_cast<double>(position) <=
+                                                    drain_rate * left.count();
+      if (!is_in_time && now - queued.pushed_at >= patience) {
+        hopeless.push_back(each->second);
+      }
+    }
+  }
+}
+
 std::vector<RequestId> AdmissionQueue::TakeExpired(TimePoint now) {
   std::vector<RequestId> expired;
   while (!this->by_start_deadline.empty() &&
--- a/src/admission_queue.h
+++ b/src/admission_queue.h
@@ -52,6 +52,10 @@
   // Removes a request that was started. The next turn goes to another account.
   void PopFront(RequestId request);
 
+  // Requests that will not start in time at the rates of the last seconds:
+  // those before them take longer, or newer ones will always be served first.
+  std::vector<RequestId> FindHopeless(TimePoint now) const;
+
   // Removes and returns the requests whose start deadline has passed.
   std::vector<RequestId> TakeExpired(TimePoint now);
   std::optional<TimePoint> NextExpiry() const;
@@ -71,6 +75,7 @@
   struct QueuedRequest {
     WaitingRequest waiting;
     Sequence sequence = 0;
+    TimePoint pushed_at;
   };
   struct RankQueue {
     std::map<AccountId, AccountQueue> accounts;
@@ -85,6 +90,11 @@
 
   ClassQueue& QueueOf(WorkClass work_class);
   const ClassQueue& QueueOf(WorkClass work_class) const;
+  void AddHopeless(std::uint32_t rank,
+                   const RankQueue& queue,
+                   std::size_t ahead,
+                   std::vector<RequestId>& hopeless,
+                   TimePoint now) const;
   // The rank whose turn it is; null if the queue is empty.
   const RankQueue* NextRank(const ClassQueue& queue) const;
   bool IsFull(WorkClass work_class) const;
--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -11,6 +11,7 @@
 #include "src/backend_pool.h"
 #include "src/check.h"
 #include "src/held_requests.h"
+#include "src/log_event.h"
 #include "src/request_quarantine.h"
 #include "src/request_state.h"
 #include "src/retry_after.h"
@@ -32,6 +33,7 @@
 // While requests are queued, free slots are looked for at least this often.
 constexpr Duration kQueuePollInterval = std::chrono::milliseconds(20);
 
+constexpr Duration kOverloadLogInterval = std::chrono::seconds(1);
 // Within this time, an entry hears of the attempts of other entries.
 constexpr Duration kEvidenceDelay = std::chrono::milliseconds(100);
 
@@ -95,6 +97,11 @@
   bool SpendRetry(TimePoint now);
   bool CanRetry(const RequestState& request, TimePoint now);
   void Retry(RequestState& request, TimePoint now);
+  void AddWaitingLoad(std::uint32_t rank,
+                      ServiceLoad& load,
+                      TimePoint now) const;
+  // Refuses waiting requests that will not start in time.
+  void RefuseEarly(TimePoint now);
   void Refuse(RequestId request, ErrorKind not_run_kind, TimePoint now);
   // How long requests like this one are refused because they crash backend
   // servers; nullopt if they are not.
@@ -127,6 +134,10 @@
   bool is_ordered = false;
   WaitingReports waiting_reports;
   StartShare start_share;
+  TimePoint next_early_refusal{};
+  // Requests refused early since the last log line.
+  std::uint64_t refused_early = 0;
+  TimePoint next_overload_log{};
   std::uint32_t max_waiting = 0;
   RetryBudget budget;
   // Replaces `budget` if the policy has a retry window.
@@ -515,7 +526,10 @@
   ACACIA_CHECK(found != nullptr);
   const ErrorKind kind = found->unknown_outcome.value_or(not_run_kind);
   std::optional<Duration> retry_after = this->QuarantineLeft(found->work, now);
-  const auto load = this->chooser->Load(found->work, now);
+  auto load = this->chooser->Load(found->work, now);
+  if (load && this->is_ordered) {
+    this->AddWaitingLoad(found->work.rank, *load, now);
+  }
   if (!retry_after && load) {
     retry_after = RetryAfter(*load, this->random->Fraction());
   }
@@ -523,6 +537,38 @@
   this->Finish(request);
 }
 
+// Callers return after the requests that wait in the entries, too.
+void Dispatcher::State::AddWaitingLoad(std::uint32_t rank,
+                                       ServiceLoad& load,
+                                       TimePoint now) const {
+  WaitingCounts own;
+  this->queue.CountByRank(own);
+  load.rank = rank;
+  load.requests_per_slot +=
+      (SumUpTo(own, rank) + this->waiting_reports.CountUpTo(rank, now)) /
+      std::max(load.slots, 1.0);
+}
+
+void Dispatcher::State::RefuseEarly(TimePoint now) {
+  if (!this->is_ordered || now < this->next_early_refusal) {
+    return;
+  }
+  this->next_early_refusal = now + kQueuePollInterval;
+  for (const RequestId hopeless : this->queue.FindHopeless(now)) {
+    this->Refuse(hopeless, ErrorKind::kDeadlineTooShort, now);
+    ++this->refused_early;
+  }
+  if (this->refused_early > 0 && now >= this->next_overload_log) {
+    LogEvent("service_overloaded", LogSeverity::kWarning)
+        .With("service", this->service)
+        .With("refused_early", std::exchange(this->refused_early, 0))
+        .With("waiting", this->queue.Size(WorkClass::kShort) +
+                             this->queue.Size(WorkClass::kLong))
+        .With("waiting_for_budget", this->held.Size());
+    this->next_overload_log = now + kOverloadLogInterval;
+  }
+}
+
 std::optional<Duration> Dispatcher::State::QuarantineLeft(const Work& work,
                                                           TimePoint now) const {
   return this->quarantine == nullptr
@@ -651,6 +697,7 @@
 DispatchActions Dispatcher::State::TakeActions(TimePoint now) {
   this->StartHeld(now);
   this->StartQueued(now);
+  this->RefuseEarly(now);
   this->UpdateNextTimer(now);
   return std::exchange(this->actions, {});
 }
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -683,7 +683,8 @@
       rate_limit_wait = std::min(rate_limit_wait.value_or(wait), wait);
     }
   }
-  load.requests_per_slot /= std::max(slots, 1.0);
+  load.slots = std::max(slots, 1.0);
+  load.requests_per_slot /= load.slots;
   load.rate_limit_wait = rate_limit_wait.value_or(Duration{});
   load.pause_wait = this->PauseLeft({}, now).value_or(Duration{});
   return load;
--- a/src/rank_shares.cc
+++ b/src/rank_shares.cc
@@ -14,6 +14,9 @@
 // Counts decay in steps of this time.
 constexpr Duration kDecayStep = std::chrono::milliseconds(100);
 
+// Rates are not measured over less than this, in seconds.
+constexpr double kMinSpan = 0.5;
+
 }  // namespace
 
 void RankShares::Decay(TimePoint now) {
@@ -33,8 +36,26 @@
   this->decayed_at = now;
 }
 
+double RankShares::Span(TimePoint now) const {
+  const std::chrono::duration<double> age = now - this->began.value_or(now);
+  return kDecayTime.count() * (1 - std::exp(-(age / kDecayTime)));
+}
+
+double RankShares::ArrivalRate(std::uint32_t rank, TimePoint now) const {
+  double arrived = 0;
+  for (const auto& [each, counts] : this->by_rank) {
+    arrived += each <= rank ? counts.arrived : 0;
+  }
+  return arrived / std::max(this->Span(now), kMinSpan);
+}
+
+double RankShares::StartRate(TimePoint now) const {
+  return this->all.started / std::max(this->Span(now), kMinSpan);
+}
+
 void RankShares::OnArrival(std::uint32_t rank, TimePoint now) {
   this->Decay(now);
+  this->began = this->began.value_or(now);
   ++this->all.arrived;
   ++this->by_rank[rank].arrived;
 }
--- a/src/rank_shares.h
+++ b/src/rank_shares.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "src/clock.h"
 
@@ -15,6 +16,10 @@
   void OnArrival(std::uint32_t rank, TimePoint now);
   void OnStart(std::uint32_t rank, TimePoint now);
 
+  // Requests of this rank and those above that arrived per second.
+  double ArrivalRate(std::uint32_t rank, TimePoint now) const;
+  // Requests of all ranks that were started per second.
+  double StartRate(TimePoint now) const;
   // The share of all requests that were started.
   double StartedShare() const;
   // True when less than the guaranteed part of `share` of the rank's requests
@@ -28,10 +33,13 @@
   };
 
   void Decay(TimePoint now);
+  // The time that the counts stand for, in seconds.
+  double Span(TimePoint now) const;
 
   std::map<std::uint32_t, Counts> by_rank;
   Counts all;
   TimePoint decayed_at{};
+  std::optional<TimePoint> began;
 };
 
 }  // namespace acacia
--- a/src/retry_after.cc
+++ b/src/retry_after.cc
@@ -16,6 +16,10 @@
 // times the estimate.
 constexpr double kMinWaitFactor = 0.5;
 constexpr double kWaitFactorSpread = 1.0;
+// Each lower rank returns later by this part, so that higher ranks are served
+// before.
+constexpr double kRankFactor = 0.5;
+constexpr std::uint32_t kMaxRankSteps = 4;
 // Callers that wait for the end of a pause return within this time after it.
 constexpr std::chrono::duration<double> kPauseSpread(1);
 
@@ -33,10 +37,14 @@
   const double rounds = std::max(0.0, load.requests_per_slot - 1) + 0.5;
   const auto queue_wait =
       std::chrono::duration_cast<Duration>(load.typical_latency * rounds);
+  const double rank_factor =
+      1 + kRankFactor * std::min(load.rank, kMaxRankSteps);
   const auto wait = std::chrono::duration_cast<Duration>(
-      std::max(queue_wait, load.rate_limit_wait) *
+      std::max(queue_wait, load.rate_limit_wait) * rank_factor *
       (kMinWaitFactor + kWaitFactorSpread * draw));
-  return std::clamp(wait, kMinWait, kMaxWait);
+  const auto max_wait =
+      std::chrono::duration_cast<Duration>(kMaxWait * rank_factor);
+  return std::clamp(wait, kMinWait, max_wait);
 }
 
 std::string FormatRetryAfter(Duration wait, bool with_fraction) {
--- a/src/retry_after.h
+++ b/src/retry_after.h
@@ -5,6 +5,7 @@
 #ifndef SRC_RETRY_AFTER_H_
 #define SRC_RETRY_AFTER_H_
 
+#include <cstdint>
 #include <string>
 
 #include "src/clock.h"
@@ -23,6 +24,10 @@
   // Time until the first backend server takes requests again when all have
   // asked for a pause; otherwise zero.
   Duration pause_wait{};
+  double slots = 0;
+  // The rank of the refused request, if ranks differ. Callers of lower ranks
+  // return later.
+  std::uint32_t rank = 0;
 };
 
 // Used while the load of the service is unknown.
