Give back the token of a request that did not run, and drop tokens of a changed limit

Cause: found by the test of the request path: an entry without a keeper took a token of its equal share for a request that was refused without having run, and kept an empty bucket after the limit was raised. Change: Return gives the token back; a changed limit starts a new bucket. Result: the part of the test about the raised limit passes.

--- a/src/account_quota.cc
+++ b/src/account_quota.cc
@@ -61,6 +61,14 @@
   std::erase_if(this->usages, [&next](const auto& item) {
     return !next.contains(item.first);
   });
+  for (auto& [account, usage] : this->usages) {
+    const auto before = this->limits.find(account);
+    if (before == this->limits.end() ||
+        before->second.quota != next.at(account).quota) {
+      // The tokens belong to the limit before.
+      usage.rule = TokenRule::kNone;
+    }
+  }
   this->limits = std::move(next);
 }
 
@@ -198,6 +206,7 @@
   const auto found = this->usages.find(HashOf(account));
   if (found != this->usages.end()) {
     --found->second.admitted;
+    found->second.tokens += found->second.rule == TokenRule::kNone ? 0 : 1;
     found->second.recent = std::max(found->second.recent - 1, 0.0);
   }
 }
