Do not let requests that may have run wait for the retry budget

Cause: safe requests whose attempt broke waited for the retry budget, which only requests that did not run are to do. With few requests each waited some 600 ms before its 502, and "an answer that ends in its head is never a success" took over 100 s. An entry that is alone waited 100 ms for evidence of others. Change: such a request is sent again only if the budget allows it at once. An entry without others in its cell does not wait for their evidence.

--- a/src/dispatcher.cc
+++ b/src/dispatcher.cc
@@ -361,9 +361,11 @@
                                 AttemptResult result,
                                 bool replayable,
                                 TimePoint now) {
+  // Only a request that did not run waits for the budget.
   const bool may_run_again =
       !UnknownOutcomeKind(result).has_value() ||
-      (request.work.idempotent &&
+      (request.work.idempotent && this->windowed_budget &&
+       this->windowed_budget->CanSpend(now) &&
        request.unknown_outcome_attempts < kMaxUnknownOutcomeAttempts);
   return this->windowed_budget && replayable && may_run_again &&
          now + this->chooser->MedianLatency(request.work) <
--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -438,7 +438,9 @@
 }
 
 bool FleetPool::IsLearning(TimePoint now) const {
-  return !this->first_good || now - *this->first_good < kLearningTime;
+  // A single entry hears of nothing but its own attempts.
+  return this->cell_size > 1 &&
+         (!this->first_good || now - *this->first_good < kLearningTime);
 }
 
 bool FleetPool::HasRoomAmong(const std::vector<BackendId>& ids,
