Bound what the agent's connections to the platform hold

Cause: each of 8 connections kept a reply of up to 64 MB, and an instance list takes up to twelve times its length when it is parsed.

Change: the bound depends on what is read: 8 MB for an object, 1 MB for a row, 2 MB for an instance list. With bodies that grow, 8 connections hold at most 96 MB. acaciactl writes a configuration as chunks, each an object, and now refuses a set of which a chunk exceeds 8 MB, before anything is written. The largest chunk is the one with all services.

--- a/src/acaciactl.cc
+++ b/src/acaciactl.cc
@@ -53,6 +53,11 @@
     this->out << "not applied: the platform cannot be reached; run again\n";
     return kCtlUnavailable;
   }
+  int operator()(const PublishTooLarge& too_large) const {
+    this->out << "not applied: a part of the set has " << too_large.bytes
+              << " bytes; at most " << kMaxObjectBytes << " are read back\n";
+    return kCtlMistake;
+  }
 };
 
 PublishOutcome RunPublish(const std::string& address, PublishRequest request) {
--- a/src/config_publisher.cc
+++ b/src/config_publisher.cc
@@ -34,6 +34,14 @@
       retries_left(kMaxRetries) {}
 
 PublisherActions ConfigPublisher::Start() {
+  std::size_t longest = this->objects.manifest.body.size();
+  for (const StoredObject& chunk : this->objects.chunks) {
+    longest = std::max(longest, chunk.body.size());
+  }
+  if (longest > kMaxObjectBytes) {
+    this->Finish(PublishTooLarge{longest});
+    return {};
+  }
   return this->ReadHead();
 }
 
--- a/src/config_publisher.h
+++ b/src/config_publisher.h
@@ -47,10 +47,16 @@
 // file set was certainly not accepted.
 struct PublishUnavailable {};
 
+// An object of the file set exceeds kMaxObjectBytes; nothing was written.
+struct PublishTooLarge {
+  std::size_t bytes = 0;
+};
+
 using PublishOutcome = std::variant<PublishAccepted,
                                     PublishRefused,
                                     PublishUnknown,
-                                    PublishUnavailable>;
+                                    PublishUnavailable,
+                                    PublishTooLarge>;
 
 using PublisherAction =
     std::variant<ReadRow, WriteRow, ReadObject, WriteObject>;
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -102,7 +102,8 @@
 
 net::awaitable<tl::expected<HttpReply, HttpClientError>> HttpClient::Send(
     HttpRequest request,
-    Duration timeout) {
+    Duration timeout,
+    std::optional<std::uint64_t> max_body_bytes) {
   State& state = *this->state;
   const bool is_open = state.stream && state.stream->socket().is_open();
   if (!is_open && !co_await state.Connect(timeout)) {
@@ -117,7 +118,7 @@
     co_return tl::unexpected(HttpClientError::kNoReply);
   }
   http::response_parser<http::string_body> parser;
-  parser.body_limit(state.max_body_bytes);
+  parser.body_limit(max_body_bytes.value_or(state.max_body_bytes));
   const auto [read_error, read] =
       co_await http::async_read(*state.stream, state.buffer, parser, kAwait);
   const auto status = static_cast<int>(parser.get().result_int());
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -36,10 +37,12 @@
   HttpClient& operator=(HttpClient&&) noexcept;
 
   // Sends `request`, connecting first if necessary. Fails if the reply is not
-  // complete `timeout` after sending began.
+  // complete `timeout` after sending began, or its body is longer than
+  // `max_body_bytes`, which replaces the client's bound for this reply.
   boost::asio::awaitable<tl::expected<HttpReply, HttpClientError>> Send(
       HttpRequest request,
-      Duration timeout);
+      Duration timeout,
+      std::optional<std::uint64_t> max_body_bytes = std::nullopt);
 
   // Closes the connection. A pending Send ends with kNoReply; the next one
   // opens another.
--- a/src/platform.h
+++ b/src/platform.h
@@ -7,6 +7,7 @@
 #ifndef SRC_PLATFORM_H_
 #define SRC_PLATFORM_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <tl/expected.hpp>
@@ -16,6 +17,10 @@
 
 namespace acacia {
 
+// The longest object that is written or read. A configuration is written as
+// chunks (config_chunks.h), of which the one with all services is the largest.
+inline constexpr std::size_t kMaxObjectBytes = 8 * 1024 * 1024;
+
 enum class PlatformError {
   // The operation certainly had no effect.
   kUnavailable,
--- a/src/platform_client.cc
+++ b/src/platform_client.cc
@@ -23,6 +23,14 @@
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr std::size_t kMaxCachedLists = 10000;
+// The agent's connections together hold at most eight replies. While a body
+// without a length grows, its copies take half as much again. With 8 MB for
+// objects that is 96 MB; 64 MB for each gave 860 MB with endless replies.
+// Rows hold a few fields, or the head with its history.
+constexpr std::uint64_t kMaxRowBytes = 1024 * 1024;
+// 28,000 instances of 75 bytes. Parsed, a list takes up to twelve times its
+// length.
+constexpr std::uint64_t kMaxListBytes = 2 * 1024 * 1024;
 
 using Reply = tl::expected<HttpReply, HttpClientError>;
 
@@ -128,6 +136,20 @@
   return instances;
 }
 
+std::uint64_t MaxReplyBytes(PlatformOperation operation) {
+  switch (operation) {
+    case PlatformOperation::kReadObject:
+      return kMaxObjectBytes;
+    case PlatformOperation::kReadInstanceList:
+      return kMaxListBytes;
+    case PlatformOperation::kReadRow:
+    case PlatformOperation::kWriteRow:
+    case PlatformOperation::kWriteObject:
+      return kMaxRowBytes;
+  }
+  return kMaxRowBytes;
+}
+
 }  // namespace
 
 const char* NameOf(PlatformOperation operation) {
@@ -167,7 +189,9 @@
   net::awaitable<bool> AcquirePermit(TimePoint deadline);
   void ReleasePermit();
   Connection TakeConnection();
-  net::awaitable<Reply> SendOnce(HttpRequest request, TimePoint deadline);
+  net::awaitable<Reply> SendOnce(PlatformOperation operation,
+                                 HttpRequest request,
+                                 TimePoint deadline);
   net::awaitable<Reply> Send(PlatformOperation operation, HttpRequest request);
 };
 
@@ -207,8 +231,10 @@
   return {HttpClient(this->address), now};
 }
 
-net::awaitable<Reply> PlatformClient::State::SendOnce(HttpRequest request,
-                                                      TimePoint deadline) {
+net::awaitable<Reply> PlatformClient::State::SendOnce(
+    PlatformOperation operation,
+    HttpRequest request,
+    TimePoint deadline) {
   const bool acquired = co_await this->AcquirePermit(deadline);
   if (!acquired) {
     co_return tl::unexpected(HttpClientError::kNotSent);
@@ -219,7 +245,8 @@
     co_return tl::unexpected(HttpClientError::kNotSent);
   }
   Connection connection = this->TakeConnection();
-  Reply reply = co_await connection.client.Send(std::move(request), time_left);
+  Reply reply = co_await connection.client.Send(std::move(request), time_left,
+                                                MaxReplyBytes(operation));
   if (reply) {
     connection.last_used = this->clock.Now();
     this->idle.push_back(std::move(connection));
@@ -235,10 +262,10 @@
   const TimePoint began = this->clock.Now();
   const TimePoint deadline = began + this->options.timeout;
   const bool is_read = request.method == "GET";
-  Reply reply = co_await this->SendOnce(request, deadline);
+  Reply reply = co_await this->SendOnce(operation, request, deadline);
   if (!reply && is_read && reply.error() == HttpClientError::kNoReply) {
     this->idle.clear();
-    reply = co_await this->SendOnce(std::move(request), deadline);
+    reply = co_await this->SendOnce(operation, std::move(request), deadline);
   }
   const Duration elapsed = this->clock.Now() - began;
   const bool answered = reply && reply->status < 500;
--- a/standin/platform_standin.cc
+++ b/standin/platform_standin.cc
@@ -21,7 +21,7 @@
 constexpr char kInstances[] = "/v1/instances/";
 constexpr std::size_t kMaxKeyBytes = 1024;
 constexpr std::size_t kMaxRowBytes = 256 * 1024;
-constexpr std::size_t kMaxObjectBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxStoredObjectBytes = 16 * 1024 * 1024;
 constexpr std::uint32_t kPermille = 1000;
 
 HttpReply PlainTextReply(int status, std::string text) {
@@ -238,7 +238,7 @@
 HttpReply PlatformStandin::HandleObject(const HttpRequest& request,
                                         const std::string& hash) {
   if (request.method == "PUT") {
-    if (request.body.size() > kMaxObjectBytes) {
+    if (request.body.size() > kMaxStoredObjectBytes) {
       return PlainTextReply(413, "an object has at most 16777216 bytes");
     }
     if (HashContent(request.body).Value() != hash) {
--- a/test/correctness/config_publisher_test.cc
+++ b/test/correctness/config_publisher_test.cc
@@ -79,6 +79,24 @@
             .generation == Generation(1));
 }
 
+// Guards against a set that is accepted and that no agent reads back.
+TEST_CASE("a set with a longer chunk than agents read is not written") {
+  FakePlatform platform;
+  PublishRequest request = Request("w1", "x");
+  auto& servers = request.file_set.services.front()->backend_servers;
+  // Twice the largest design size.
+  for (int i = 0; i < 60000; ++i) {
+    auto server = std::make_unique<schema::BackendServerT>();
+    server->address = "10.100." + std::to_string(i) + ":8080";
+    server->failure_domain = "domain-1";
+    servers.push_back(std::move(server));
+  }
+  CHECK(std::holds_alternative<PublishAccepted>(Apply(platform, request)));
+  request.write_id = "w2";
+  servers.front()->address = std::string(kMaxObjectBytes, 'x');
+  CHECK(std::holds_alternative<PublishTooLarge>(Apply(platform, request)));
+}
+
 TEST_CASE("a write overtaken after a lost reply is still known as accepted") {
   FakePlatform platform;
   ConfigPublisher first(Request("w1", "x"));
