Read answers ahead of slow callers, and end those that stay unread

Cause: an answer was read from its backend server only as fast as its caller took it. A caller that did not read held the connection and the slot until its idle timeout of a minute, or until the backend server cut the answer off.

When the answer has been read, its connection is free. Acknowledged bytes are compared, as a write of the kernel's may take seconds while the caller reads slowly. Answers that have arrived whole are written as before, without a second coroutine.

--- a/src/backend_connection.cc
+++ b/src/backend_connection.cc
@@ -73,8 +73,15 @@
       info.tcpi_state == TCP_CLOSE) {
     return false;
   }
-  int unacknowledged = 0;
-  return ::ioctl(handle, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged == 0;
+  return UnacknowledgedBytes(socket) == 0U;
+}
+
+std::optional<std::size_t> UnacknowledgedBytes(net::ip::tcp::socket& socket) {
+  int bytes = 0;
+  if (::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes < 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(bytes);
 }
 
 ConnectionPool::CheckOut ConnectionPool::TryCheckOut(const BackendId& backend,
--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -11,6 +11,7 @@
 #include <deque>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 #include "src/clock.h"
@@ -64,6 +65,11 @@
 // file.
 bool EndedCleanly(boost::asio::ip::tcp::socket& socket);
 
+// The bytes that were written and that the peer has not acknowledged; a peer
+// that does not read acknowledges no more. nullopt if the socket is closed.
+std::optional<std::size_t> UnacknowledgedBytes(
+    boost::asio::ip::tcp::socket& socket);
+
 // Limits the number of connections to each backend server and keeps idle ones
 // for reuse. The connection that became idle last is reused first. Thread-safe.
 class ConnectionPool {
--- a/src/buffer_budget.cc
+++ b/src/buffer_budget.cc
@@ -5,11 +5,10 @@
 
 namespace acacia {
 
-bool BufferBudget::TryTake(std::size_t bytes) {
+bool BufferBudget::TryTakeWithin(std::size_t bytes, std::size_t limit) {
   std::size_t before = this->held.load();
   do {
-    const bool fits =
-        before <= this->max_bytes && bytes <= this->max_bytes - before;
+    const bool fits = before <= limit && bytes <= limit - before;
     if (this->max_bytes > 0 && !fits) {
       return false;
     }
--- a/src/buffer_budget.h
+++ b/src/buffer_budget.h
@@ -17,11 +17,20 @@
   explicit BufferBudget(std::size_t max_bytes) : max_bytes(max_bytes) {}
 
   // Returns false, and takes nothing, if that exceeded the budget.
-  bool TryTake(std::size_t bytes);
+  bool TryTake(std::size_t bytes) {
+    return this->TryTakeWithin(bytes, this->max_bytes);
+  }
+  // The same for bytes that may take only half of the budget together with all
+  // others.
+  bool TryTakeOfHalf(std::size_t bytes) {
+    return this->TryTakeWithin(bytes, this->max_bytes / 2);
+  }
   void Return(std::size_t bytes) { this->held.fetch_sub(bytes); }
   std::size_t HeldBytes() const { return this->held.load(); }
 
  private:
+  bool TryTakeWithin(std::size_t bytes, std::size_t limit);
+
   const std::size_t max_bytes;
   std::atomic<std::size_t> held{0};
 };
--- a/src/entry_metrics.cc
+++ b/src/entry_metrics.cc
@@ -65,6 +65,12 @@
            .Help("Caller connections closed at once: too many open.")
            .Register(target)
            .Add({});
+  this->unread_answers =
+      &prometheus::BuildCounter()
+           .Name("acacia_unread_answers_total")
+           .Help("Answers ended because their callers did not read them.")
+           .Register(target)
+           .Add({});
   this->answers = &prometheus::BuildCounter()
                        .Name("acacia_answers_total")
                        .Help("Answers to callers, by service and kind.")
--- a/src/entry_metrics.h
+++ b/src/entry_metrics.h
@@ -60,6 +60,8 @@
   prometheus::Gauge* quarantined_requests = nullptr;
   prometheus::Gauge* buffered_bytes = nullptr;
   prometheus::Counter* refused_connections = nullptr;
+  // Answers that were ended because the caller did not read them.
+  prometheus::Counter* unread_answers = nullptr;
 
  private:
   std::unique_ptr<ServiceMetrics> Create(const ServiceName& service);
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -342,43 +342,34 @@
 
 net::awaitable<AttemptResult> ProxyAttempt::RelayBody(
     http::response<http::buffer_body> answer) {
-  http::response_serializer<http::buffer_body> serializer(answer);
-  std::vector<char> scratch(kRelayBytes);
-  BodyReadResult piece;
   if (this->buffered_body) {
     // The beginning of an answer that exceeds buffered_answer_bytes, or the
     // memory that was left for it.
-    piece.bytes = this->buffered_body->size();
-    scratch.assign(this->buffered_body->begin(), this->buffered_body->end());
-    scratch.resize(std::max(scratch.size(), kRelayBytes));
-    *this->buffered_body = std::string();
-  } else {
-    piece = ParseBufferedBody<false>(this->connection->buffer, *this->parser,
-                                     net::buffer(scratch));
+    const std::string first = std::exchange(*this->buffered_body, {});
+    co_return co_await this->RelayAhead(std::move(answer), first);
   }
-  for (;;) {
-    if (piece.error && piece.error != http::error::need_more) {
-      this->last_error = piece.error;
-      co_return this->ClassifyFailure(AttemptResult::kTruncated);
-    }
-    const bool done = this->parser->is_done();
-    if (done) {
-      this->OnAnswerReceived();
-    }
-    answer.body().data = piece.bytes > 0 ? scratch.data() : nullptr;
-    answer.body().size = piece.bytes;
-    answer.body().more = !done;
-    this->StartCallerTimeout();
-    const auto [error, bytes] = co_await http::async_write(
-        this->owner.Caller().Socket(), serializer, kAwait);
-    this->owner.EnableCallerTimeout(false);
-    if (done || (error && error != http::error::need_buffer)) {
-      this->FinishRelay(!error || error == http::error::need_buffer);
-      co_return this->final_result;
-    }
-    this->RestartProgressTimeout();
-    piece = co_await this->ReadAnswerPiece(scratch);
+  std::vector<char> scratch(kRelayBytes);
+  const BodyReadResult piece = ParseBufferedBody<false>(
+      this->connection->buffer, *this->parser, net::buffer(scratch));
+  if (piece.error && piece.error != http::error::need_more) {
+    this->last_error = piece.error;
+    co_return this->ClassifyFailure(AttemptResult::kTruncated);
+  }
+  if (!this->parser->is_done()) {
+    co_return co_await this->RelayAhead(std::move(answer),
+                                        {scratch.data(), piece.bytes});
   }
+  this->OnAnswerReceived();
+  http::response_serializer<http::buffer_body> serializer(answer);
+  answer.body().data = piece.bytes > 0 ? scratch.data() : nullptr;
+  answer.body().size = piece.bytes;
+  answer.body().more = false;
+  this->StartCallerTimeout();
+  const auto [error, bytes] = co_await http::async_write(
+      this->owner.Caller().Socket(), serializer, kAwait);
+  this->owner.EnableCallerTimeout(false);
+  this->FinishRelay(!error);
+  co_return this->final_result;
 }
 
 // The backend server's answer has been received to its end. Frees its slot and
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -69,7 +69,9 @@
                  std::to_string(start.attempt.Value())),
       trace(exchange.trace),
       start_time(context.clock.Now()),
-      buffer_share(context.buffers) {
+      buffer_share(context.buffers),
+      piece_added(owner.Strand()),
+      piece_written(owner.Strand()) {
   if (context.dialect.forwards_request_id) {
     this->request_id = exchange.caller_request_id;
   }
@@ -151,6 +153,9 @@
     this->exchange.outcome_unknown = true;
   }
   this->CloseConnection();
+  this->stop_writing = true;
+  this->piece_added.cancel();
+  this->piece_written.cancel();
   if (this->uploading) {
     this->owner.Caller().CancelReads();
   }
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -23,6 +23,7 @@
 #include "src/caller_connection.h"
 #include "src/dispatcher.h"
 #include "src/entry_context.h"
+#include "src/read_ahead.h"
 #include "src/span.h"
 
 namespace acacia {
@@ -202,6 +203,18 @@
   boost::beast::http::response<boost::beast::http::buffer_body> BuildAnswer();
   boost::asio::awaitable<AttemptResult> RelayBody(
       boost::beast::http::response<boost::beast::http::buffer_body> answer);
+  boost::asio::awaitable<AttemptResult> RelayAhead(
+      boost::beast::http::response<boost::beast::http::buffer_body> answer,
+      std::string_view first);
+  boost::asio::awaitable<std::optional<AttemptResult>> ReadRest();
+  boost::asio::awaitable<bool> AwaitRoom();
+  boost::asio::awaitable<void> WriteWhatWasRead();
+  bool IsUnread(UnreadTimeout& timeout);
+  void EndUnreadAnswer();
+  void StartWriting(
+      boost::beast::http::response<boost::beast::http::buffer_body> answer);
+  boost::asio::awaitable<void> WriteAnswer(
+      boost::beast::http::response<boost::beast::http::buffer_body> answer);
   void OnAnswerReceived();
   void FinishRelay(bool whole);
   void ReportEnd(AttemptResult result);
@@ -251,6 +264,16 @@
   BufferShare buffer_share;
   BackendConnectionPtr connection;
   std::unique_ptr<Parser> parser;
+  // The pieces of an answer between reading and writing. Adding one, or the end
+  // of the answer, cancels `piece_added`; writing one cancels `piece_written`.
+  std::optional<ReadAhead> ahead;
+  boost::asio::steady_timer piece_added;
+  boost::asio::steady_timer piece_written;
+  // WriteAnswer runs.
+  bool writing = false;
+  bool answer_read = false;
+  bool stop_writing = false;
+  bool write_failed = false;
 };
 
 }  // namespace acacia
