Bound the bytes of large requests outstanding at a backend server

Cause: a backend server crashes when the requests that it holds exceed its memory. Entries placed requests by their number only.

Change: for requests with bodies of 32 KB and more, entries count the bytes in flight at each backend server and tell each other with the evidence that they exchange (BackendEvidence.outstanding_bytes, repeated every 120 ms while it is not 0). Backend servers with many bytes cost more for large requests; one with 16 MB for each slot gets no further ones. The request waits in the queue if none has room. Smaller requests are placed as before, with the same random draws.

Bodies in chunks do not count.

--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -188,7 +188,11 @@
 }
 
 PooledBackend* FleetPool::Pick(const PickRequest& request, TimePoint now) {
-  const Candidates in_service = this->SelectInService(request.excluded);
+  Candidates in_service = this->SelectInService(request.excluded);
+  std::erase_if(in_service, [&request, now](const FleetBackend* each) {
+    return !each->outstanding.HasRoom(request.work.body_bytes,
+                                      each->server.slots, now);
+  });
   // Below the floor, suspects are probed even by requests that cannot be
   // retried, because the service needs the capacity.
   if (CanProbe(request) || (IsFirstIdempotentAttempt(request) &&
@@ -255,6 +259,7 @@
   } else if (!backend.is_home) {
     cost += kOtherCellCost;
   }
+  cost += backend.outstanding.Cost(work.body_bytes, backend.server.slots, now);
   if (backend.is_cold) {
     cost += kColdCost;
   }
@@ -350,15 +355,18 @@
                         TimePoint now) {
   auto& backend = static_cast<FleetBackend&>(pooled);
   ++backend.in_flight[static_cast<std::size_t>(work.work_class)];
+  backend.outstanding.OnStart(work.body_bytes);
   if (backend.rate_limit.IsActive(now)) {
     ++backend.started;
     backend.rate_limit.OnOwnAttempt(this->random.Fraction(), now);
   }
 }
 
-void FleetPool::OnRelease(PooledBackend& backend,
+void FleetPool::OnRelease(PooledBackend& pooled,
                           const Work& work,
                           bool was_overdue) {
+  auto& backend = static_cast<FleetBackend&>(pooled);
+  backend.outstanding.OnRelease(work.body_bytes);
   backend.overdue -= was_overdue ? 1 : 0;
   --backend.in_flight[static_cast<std::size_t>(work.work_class)];
   if (!backend.in_view && backend.InFlight() == 0) {
@@ -616,6 +624,7 @@
       continue;
     }
     RecordPeerInFlight(*backend, from, each.in_flight, now);
+    backend->outstanding.OnReport(from, each.outstanding_bytes, now);
     backend->rate_limit.OnPeerAttempts(each.started, now);
     if (each.rate_limit >= 0) {
       backend->rate_limit.OnNamed(each.rate_limit, now);
@@ -647,11 +656,14 @@
                                    backend->silent;
     const bool in_flight_is_stale =
         backend->InFlight() > 0 &&
-        now - backend->in_flight_sent_at >= kInFlightResendInterval;
+        now - backend->in_flight_sent_at >=
+            (backend->outstanding.Own() > 0 ? OutstandingBytes::kResendInterval
+                                            : kInFlightResendInterval);
     if (outcomes == 0 && !backend->has_unsent_load && !in_flight_is_stale &&
         backend->InFlight() == backend->sent_in_flight &&
-        backend->started == 0 && backend->unsent_rate_limit < 0 &&
-        !backend->has_unsent_rate_limit_end && !backend->has_unsent_leaving) {
+        !backend->outstanding.HasUnsent() && backend->started == 0 &&
+        backend->unsent_rate_limit < 0 && !backend->has_unsent_rate_limit_end &&
+        !backend->has_unsent_leaving) {
       continue;
     }
     schema::BackendEvidenceT item;
@@ -673,6 +685,7 @@
         std::exchange(backend->has_unsent_rate_limit_end, false);
     item.leaving = std::exchange(backend->has_unsent_leaving, false);
     item.in_flight = backend->InFlight();
+    item.outstanding_bytes = backend->outstanding.TakeReport();
     backend->sent_in_flight = item.in_flight;
     backend->in_flight_sent_at = now;
     item.avoided =
@@ -689,6 +702,9 @@
   const auto& backend = static_cast<const FleetBackend&>(pooled);
   std::ostringstream text;
   text << "load:" << EstimateLoad(backend, now) << "/" << backend.server.slots;
+  if (const std::uint64_t bytes = backend.outstanding.Total(now); bytes > 0) {
+    text << ",outstanding_bytes:" << bytes;
+  }
   if (backend.shared.LastGood() > TimePoint{}) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - backend.shared.LastGood());
@@ -721,6 +737,9 @@
          << " in_flight=" << backend->InFlight()
          << " reported=" << backend->reported.running << ","
          << backend->reported.waiting << "," << backend->reported.slots;
+    if (const std::uint64_t bytes = backend->outstanding.Total(now)) {
+      line << " outstanding_bytes=" << bytes;
+    }
     if (backend->rate_limit.IsActive(now)) {
       line << " rate_limit=" << backend->rate_limit.Rate(now)
            << " allowance=" << backend->rate_limit.Level(now);
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -19,6 +19,7 @@
 
 #include "src/backend_chooser.h"
 #include "src/latency_window.h"
+#include "src/outstanding_bytes.h"
 #include "src/random_source.h"
 #include "src/shared_health.h"
 #include "src/shared_rate_limit.h"
@@ -43,6 +44,7 @@
   // to the other entries yet.
   bool has_unsent_load = false;
   std::vector<PeerInFlight> peer_in_flight;
+  OutstandingBytes outstanding;
   // The in-flight count last sent to the other entries, and when it was sent.
   std::uint32_t sent_in_flight = 0;
   TimePoint in_flight_sent_at{};
