--- a/src/entry_metrics.h
+++ b/src/entry_metrics.h
@@ -68,6 +68,8 @@
   prometheus::Gauge* quota_refusals = nullptr;
   prometheus::Gauge* quota_fractions = nullptr;
   prometheus::Counter* refused_connections = nullptr;
+  // Answers that were ended because the caller did not read them.
+  prometheus::Counter* unread_answers = nullptr;
 
  private:
   std::unique_ptr<ServiceMetrics> Create(const ServiceName& service);
