--- a/src/configuration.h
+++ b/src/configuration.h
@@ -57,6 +57,9 @@
   // The most hedges in per cent of the service's requests, under HedgePolicy;
   // 0: attempts are hedged when they are overdue, within the retry budget.
   double hedge_percent = 0;
+  // Requests that do not fit wait in the entry in the order of their ranks,
+  // where these differ, instead of in the queues of backend servers.
+  bool order_by_rank = false;
   Duration progress_timeout = std::chrono::seconds(5);
 };
 
--- a/src/entry_snapshot.cc
+++ b/src/entry_snapshot.cc
@@ -154,7 +154,8 @@
     const std::uint32_t fleet_size = FleetSize(fleet, snapshot.members.size());
     view.cell_size = fleet != nullptr && fleet->cell_size > 0 ? fleet->cell_size
                                                               : fleet_size;
-    view.is_ordered = HasDifferentRanks(*configuration, name);
+    view.is_ordered =
+        view.policy.order_by_rank && HasDifferentRanks(*configuration, name);
     if (view.policy.retry_window) {
       view.policy.retry_window->extra /= fleet_size;
     }
--- a/src/host_policy.cc
+++ b/src/host_policy.cc
@@ -22,6 +22,7 @@
       std::chrono::duration<double>(settings.retry_budget_window_s));
   policy.retry_window = window;
   policy.hedge_percent = settings.hedge_percent;
+  policy.order_by_rank = settings.order_by_rank;
   return policy;
 }
 
--- a/test/correctness/service_ranks_test.cc
+++ b/test/correctness/service_ranks_test.cc
@@ -9,10 +9,12 @@
 namespace {
 
 bool IsOrdered(const std::vector<std::uint32_t>& route_priorities,
-               std::shared_ptr<const AccountTable> accounts) {
+               std::shared_ptr<const AccountTable> accounts,
+               bool order_by_rank = true) {
   Configuration configuration;
   const ServiceName name("s");
   configuration.services[name].name = name;
+  configuration.services[name].policy.order_by_rank = order_by_rank;
   for (const std::uint32_t priority : route_priorities) {
     Route route;
     route.service = name;
@@ -38,6 +40,7 @@
   CHECK_FALSE(IsOrdered({}, nullptr));
   CHECK_FALSE(IsOrdered({2, 2}, nullptr));
   CHECK(IsOrdered({0, 1}, nullptr));
+  CHECK_FALSE(IsOrdered({0, 1}, nullptr, false));
   const auto plain = std::make_shared<AccountTable>();
   plain->Add({AccountId("a")}, {});
   CHECK_FALSE(IsOrdered({2, 2}, plain));
