Give the account without keys of the check's test an empty list

Cause: the decoder now requires apiKeys, so a missing list is an error and not only an account without keys; test_correctness failed there after the merge. Change: the test's account has an empty list, which is what the warning is for.

--- a/test/correctness/configuration_check_test.cc
+++ b/test/correctness/configuration_check_test.cc
@@ -109,7 +109,7 @@
                            R"("service":"idle","trafficSplit":[
                       {"service":"kehto","weight":1},
                       {"service":"idle","weight":0}])"),
-                     Resource("tenants", "t", R"("ratePerS":5)"),
+                     Resource("tenants", "t", R"("apiKeys":[],"ratePerS":5)"),
                      Resource("new", "n", "")})) ==
         Lines{"warning account t: has no keys: no request is its own",
               "warning new n: its kind is unknown and is ignored",
