Make each limit of the quota simulation a test case of its own

Cause: the 24 plays of the cut were one test case, which took more than 75 s beside other work as released and would exceed CTest's limit of 120 s under the sanitizers. Change: a case for each limit, multiple of the usual demand and kind of cut. The plays, checks, bounds and seeds are the same.

--- a/test/correctness/quota_fleet_test.cc
+++ b/test/correctness/quota_fleet_test.cc
@@ -274,13 +274,12 @@
   }
 }
 
-// Each quota, usual multiple and seed.
-Case DrawCase() {
-  const AccountQuota quota = GENERATE(AccountQuota{270, 270},
-                                      AccountQuota{20, 20}, AccountQuota{5, 5});
-  const double heat = GENERATE(3.0, 9.0);
+// A limit with a burst of the same size, and each seed.
+Case DrawCase(int limit, int heat) {
   const auto seed = GENERATE(range(1, 1 + SeedCount()));
-  return {quota, heat, static_cast<std::uint64_t>(seed)};
+  return {{static_cast<double>(limit), static_cast<double>(limit)},
+          static_cast<double>(heat),
+          static_cast<std::uint64_t>(seed)};
 }
 
 double UsualRate(const AccountQuota& quota) {
@@ -319,11 +318,18 @@
   CHECK(share >= kMinAdmittedShare);
 }
 
-TEST_CASE("an account below its limit is not refused") {
-  const AccountQuota quota = GENERATE(AccountQuota{270, 270},
-                                      AccountQuota{20, 20}, AccountQuota{5, 5});
-  const int seed = GENERATE(range(1, 1 + SeedCount()));
-  Fleet fleet(quota, static_cast<std::uint64_t>(seed));
+// Each limit and each multiple of the usual demand is a test case of its own,
+// so that none takes long under a sanitizer.
+TEMPLATE_TEST_CASE_SIG("an account below its limit is not refused",
+                       "",
+                       ((int limit), limit),
+                       270,
+                       20,
+                       5) {
+  const Case c = DrawCase(limit, 1);
+  const AccountQuota quota = c.quota;
+  const std::uint64_t seed = c.seed;
+  Fleet fleet(quota, seed);
   // The entries find each other, and the bucket fills.
   fleet.Run(10000);
   fleet.SetDemand(UsualRate(quota));
@@ -332,8 +338,16 @@
   CHECK(fleet.Refused(0, fleet.Now()) == 0);
 }
 
-TEST_CASE("a hot account is held to its limit over the fleet") {
-  const Case c = DrawCase();
+TEMPLATE_TEST_CASE_SIG("a hot account is held to its limit over the fleet",
+                       "",
+                       ((int limit, int heat), limit, heat),
+                       (270, 3),
+                       (270, 9),
+                       (20, 3),
+                       (20, 9),
+                       (5, 3),
+                       (5, 9)) {
+  const Case c = DrawCase(limit, heat);
   Fleet fleet(c.quota, c.seed);
   fleet.Run(5000);
   fleet.SetDemand(UsualRate(c.quota));
@@ -350,9 +364,23 @@
   CHECK(fleet.Refused(45000, 55000) == 0);
 }
 
-TEST_CASE("a hot account is held to its limit while entries are cut off") {
-  const Case c = DrawCase();
-  const bool is_group = GENERATE(true, false);
+TEMPLATE_TEST_CASE_SIG(
+    "a hot account is held to its limit while entries are cut off",
+    "",
+    ((int limit, int heat, bool is_group), limit, heat, is_group),
+    (270, 3, true),
+    (270, 3, false),
+    (270, 9, true),
+    (270, 9, false),
+    (20, 3, true),
+    (20, 3, false),
+    (20, 9, true),
+    (20, 9, false),
+    (5, 3, true),
+    (5, 3, false),
+    (5, 9, true),
+    (5, 9, false)) {
+  const Case c = DrawCase(limit, heat);
   // The account becomes hot before or during the cut.
   const bool is_hot_before = GENERATE(true, false);
   CAPTURE(is_group, is_hot_before);
@@ -375,8 +403,17 @@
   CHECK(share >= kMinAdmittedShareCut);
 }
 
-TEST_CASE("a hot account is held to its limit when its keeper ends") {
-  const Case c = DrawCase();
+TEMPLATE_TEST_CASE_SIG(
+    "a hot account is held to its limit when its keeper ends",
+    "",
+    ((int limit, int heat), limit, heat),
+    (270, 3),
+    (270, 9),
+    (20, 3),
+    (20, 9),
+    (5, 3),
+    (5, 9)) {
+  const Case c = DrawCase(limit, heat);
   Fleet fleet(c.quota, c.seed);
   fleet.Run(10000);
   fleet.SetDemand(UsualRate(c.quota) * c.heat);
@@ -392,8 +429,17 @@
   CheckAdmitted(fleet, c, 40000, 50000, "keeper back");
 }
 
-TEST_CASE("a hot account is held to its limit when entries restart") {
-  const Case c = DrawCase();
+TEMPLATE_TEST_CASE_SIG(
+    "a hot account is held to its limit when entries restart",
+    "",
+    ((int limit, int heat), limit, heat),
+    (270, 3),
+    (270, 9),
+    (20, 3),
+    (20, 9),
+    (5, 3),
+    (5, 9)) {
+  const Case c = DrawCase(limit, heat);
   Fleet fleet(c.quota, c.seed);
   fleet.Run(10000);
   fleet.SetDemand(UsualRate(c.quota) * c.heat);
@@ -410,8 +456,17 @@
   CheckAdmitted(fleet, c, 35000, 45000, "all restarted");
 }
 
-TEST_CASE("a lower limit binds one window after it came into force") {
-  Case c = DrawCase();
+TEMPLATE_TEST_CASE_SIG(
+    "a lower limit binds one window after it came into force",
+    "",
+    ((int limit, int heat), limit, heat),
+    (270, 3),
+    (270, 9),
+    (20, 3),
+    (20, 9),
+    (5, 3),
+    (5, 9)) {
+  Case c = DrawCase(limit, heat);
   Fleet fleet(c.quota, c.seed);
   fleet.Run(10000);
   fleet.SetDemand(UsualRate(c.quota) * c.heat);
