Rank ids by rendezvous hashing in one place

Cause: evidence_fanout, fleet_quota and peer_reach each built the nodes of equal weight that agent_state and work_split built already. Change: RankIdsByRendezvous serves all five. The ranks are the same.

--- a/src/agent_state.cc
+++ b/src/agent_state.cc
@@ -47,12 +47,8 @@
     const std::string& key,
     const std::vector<InstanceId>& instances,
     std::size_t count) {
-  std::vector<RendezvousNode> nodes;
-  for (const InstanceId& instance : instances) {
-    nodes.push_back({instance.Value()});
-  }
   std::vector<InstanceId> highest_ranked;
-  for (const std::size_t index : RankByRendezvous(key, nodes, count)) {
+  for (const std::size_t index : RankIdsByRendezvous(key, instances, count)) {
     highest_ranked.push_back(instances[index]);
   }
   return highest_ranked;
--- a/src/evidence_fanout.cc
+++ b/src/evidence_fanout.cc
@@ -59,12 +59,8 @@
   if (all.size() <= kSmallFleetEntries) {
     return all;
   }
-  std::vector<RendezvousNode> nodes;
-  for (const InstanceId& instance : all) {
-    nodes.push_back({instance.Value()});
-  }
   const std::string key = std::to_string(report.fingerprint);
-  const std::size_t first = RankByRendezvous(key, nodes, 1).front();
+  const std::size_t first = RankIdsByRendezvous(key, all, 1).front();
   return cells.EntriesInCellOf(all[first]);
 }
 
--- a/src/fleet_quota.cc
+++ b/src/fleet_quota.cc
@@ -55,13 +55,9 @@
 FleetQuota::Ranking& FleetQuota::RankingOf(AccountHash account) {
   Ranking& ranking = this->rankings[account];
   if (ranking.ranks.empty()) {
-    std::vector<RendezvousNode> nodes;
-    nodes.reserve(this->entries.size());
-    for (const InstanceId& each : this->entries) {
-      nodes.push_back({each.Value()});
-    }
     const std::string key = std::to_string(account.Value());
-    for (const std::size_t index : RankByRendezvous(key, nodes, kMaxRanks)) {
+    for (const std::size_t index :
+         RankIdsByRendezvous(key, this->entries, kMaxRanks)) {
       ranking.ranks.push_back(static_cast<std::uint16_t>(index));
     }
   }
--- a/src/peer_reach.cc
+++ b/src/peer_reach.cc
@@ -32,14 +32,9 @@
     return !others.contains(each);
   });
   const std::vector<InstanceId> all(others.begin(), others.end());
-  std::vector<RendezvousNode> nodes;
-  nodes.reserve(all.size());
-  for (const InstanceId& each : all) {
-    nodes.push_back({each.Value()});
-  }
   this->panel.clear();
   for (const std::size_t index :
-       RankByRendezvous(self.Value(), nodes, kMaxPanel)) {
+       RankIdsByRendezvous(self.Value(), all, kMaxPanel)) {
     this->panel.push_back(all[index]);
   }
 }
--- a/src/rendezvous.h
+++ b/src/rendezvous.h
@@ -28,6 +28,19 @@
     const std::vector<RendezvousNode>& nodes,
     std::size_t count);
 
+// The same for ids of equal weight.
+template <typename Id>
+std::vector<std::size_t> RankIdsByRendezvous(std::string_view key,
+                                             const std::vector<Id>& ids,
+                                             std::size_t count) {
+  std::vector<RendezvousNode> nodes;
+  nodes.reserve(ids.size());
+  for (const Id& id : ids) {
+    nodes.push_back({id.Value()});
+  }
+  return RankByRendezvous(key, nodes, count);
+}
+
 }  // namespace acacia
 
 #endif  // SRC_RENDEZVOUS_H_
--- a/src/work_split.cc
+++ b/src/work_split.cc
@@ -15,16 +15,11 @@
     const ServiceName& service,
     const std::vector<BackendId>& backends,
     std::uint32_t percent) {
-  std::vector<RendezvousNode> nodes;
-  nodes.reserve(backends.size());
-  for (const BackendId& backend : backends) {
-    nodes.push_back({backend.Value()});
-  }
   const bool split = backends.size() >= kMinBackendServersToSplit;
   const std::size_t count =
       split ? std::max<std::size_t>(backends.size() * percent / 100, 1)
             : backends.size();
-  return RankByRendezvous("long/" + service.Value(), nodes, count);
+  return RankIdsByRendezvous("long/" + service.Value(), backends, count);
 }
 
 }  // namespace acacia
