Say once what both sides of an account's quota compute

Cause: the entry's and the keeper's side had each their own seconds, their own 3 s over which admissions are averaged (which must agree), and their own conversion of fractions; the entry's side created a usage, and computed its equal share, in two places. Change: ToSeconds, QuotaLimiter::kRecentTimeS, PackFraction and UnpackFraction, UsageOf, EqualShare, TimeFor.

--- a/src/account_quota.cc
+++ b/src/account_quota.cc
@@ -9,12 +9,6 @@
 namespace acacia {
 namespace {
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-// Long enough to smooth the arrivals of an account at one entry.
-constexpr double kRecentTimeS = 3;
 // A limited account is reported this often without new requests, so that its
 // keeper can tell an entry without requests from one that is cut off.
 constexpr Duration kIdleReportInterval = std::chrono::milliseconds(400);
@@ -34,7 +28,7 @@
 }
 
 double Decayed(double value, TimePoint since, TimePoint now) {
-  return value * std::exp(-Seconds(now - since) / kRecentTimeS);
+  return value * std::exp(-ToSeconds(now - since) / QuotaLimiter::kRecentTimeS);
 }
 
 }  // namespace
@@ -44,6 +38,15 @@
   return AccountHash(XXH3_64bits(name.data(), name.size()));
 }
 
+std::uint16_t PackFraction(double fraction) {
+  return static_cast<std::uint16_t>(
+      std::lround(std::clamp(fraction, 0.0, 1.0) * kWholeFraction));
+}
+
+double UnpackFraction(std::uint16_t packed) {
+  return static_cast<double>(packed) / kWholeFraction;
+}
+
 QuotaLimiter::QuotaLimiter(std::unique_ptr<RandomSource> random)
     : random(std::move(random)) {}
 
@@ -91,6 +94,19 @@
   return !this->limits.empty();
 }
 
+QuotaLimiter::Usage& QuotaLimiter::UsageOf(AccountHash account, TimePoint now) {
+  const auto [item, is_new] = this->usages.try_emplace(account);
+  Usage& usage = item->second;
+  if (is_new) {
+    // Entries that get a fraction at the same time must not all refuse, or all
+    // admit, their next request.
+    usage.credit = this->random->Fraction();
+    usage.recent_at = now;
+    usage.used_at = now;
+  }
+  return usage;
+}
+
 std::optional<Duration> QuotaLimiter::Admit(const AccountId& account,
                                             TimePoint now) {
   const AccountHash hash = HashOf(account);
@@ -99,14 +115,7 @@
   if (found == this->limits.end()) {
     return std::nullopt;
   }
-  const auto [item, is_new] = this->usages.try_emplace(hash);
-  Usage& usage = item->second;
-  if (is_new) {
-    // Entries that get a fraction at the same time must not all refuse, or all
-    // admit, their next request.
-    usage.credit = this->random->Fraction();
-    usage.recent_at = now;
-  }
+  Usage& usage = this->UsageOf(hash, now);
   ++usage.arrived;
   usage.used_at = now;
   const AccountQuota& quota = found->second.quota;
@@ -120,6 +129,12 @@
   return std::nullopt;
 }
 
+AccountQuota QuotaLimiter::EqualShare(const AccountQuota& quota) const {
+  const double fleet =
+      static_cast<double>(std::max<std::size_t>(this->contact.fleet_size, 1));
+  return {quota.requests_per_second / fleet, quota.burst / fleet};
+}
+
 bool QuotaLimiter::IsWithoutKeeper(AccountHash account) const {
   return this->contact.is_cut_off ||
          this->contact.without_keeper.contains(account);
@@ -135,10 +150,9 @@
                           const AccountQuota& quota,
                           Usage& usage,
                           TimePoint now) {
-  const double fleet =
-      static_cast<double>(std::max<std::size_t>(this->contact.fleet_size, 1));
-  const double share = quota.requests_per_second / fleet;
-  const double share_burst = std::max(quota.burst / fleet, 1.0);
+  const AccountQuota equal = this->EqualShare(quota);
+  const double share = equal.requests_per_second;
+  const double share_burst = std::max(equal.burst, 1.0);
   if (!this->contact.has_heard_keeper) {
     return this->TakeToken(usage, TokenRule::kUnheard, share, share_burst, now);
   }
@@ -177,8 +191,8 @@
     usage.tokens =
         rule == TokenRule::kShare ? this->random->Fraction() : capacity;
   }
-  usage.tokens =
-      std::min(capacity, usage.tokens + rate * Seconds(now - usage.tokens_at));
+  usage.tokens = std::min(
+      capacity, usage.tokens + rate * ToSeconds(now - usage.tokens_at));
   usage.tokens_at = now;
   if (usage.tokens < 1) {
     return false;
@@ -191,12 +205,10 @@
 // the rate that it admitted recently.
 Duration QuotaLimiter::WaitFor(const AccountQuota& quota,
                                const Usage& usage) const {
-  const double fleet =
-      static_cast<double>(std::max<std::size_t>(this->contact.fleet_size, 1));
-  const double rate =
-      std::max(usage.recent / kRecentTimeS, quota.requests_per_second / fleet);
+  const double rate = std::max(usage.recent / kRecentTimeS,
+                               this->EqualShare(quota).requests_per_second);
   const std::chrono::duration<double> wait(
-      std::min(1 / rate, Seconds(kMaxWait)));
+      std::min(1 / rate, ToSeconds(kMaxWait)));
   return std::clamp(std::chrono::duration_cast<Duration>(wait), kMinWait,
                     kMaxWait);
 }
@@ -236,8 +248,7 @@
         account.Value(), usage.arrived, usage.admitted,
         Clamp16(usage.arrived - usage.reported_arrived),
         Clamp16(static_cast<std::uint32_t>(std::max(new_admitted, 0))),
-        static_cast<std::uint16_t>(std::lround(fraction * kWholeFraction)),
-        false);
+        PackFraction(fraction), false);
     usage.reported_arrived = usage.arrived;
     usage.reported_admitted = usage.admitted;
     usage.reported_at = now;
@@ -254,18 +265,10 @@
   if (!this->limits.contains(account) || this->contact.is_cut_off) {
     return;
   }
-  const auto [item, is_new] = this->usages.try_emplace(account);
-  Usage& usage = item->second;
-  if (is_new) {
-    usage.credit = this->random->Fraction();
-    usage.recent_at = now;
-    usage.used_at = now;
-  }
-  usage.fraction =
-      fraction.fraction() == kWholeFraction
-          ? std::nullopt
-          : std::optional(static_cast<double>(fraction.fraction()) /
-                          kWholeFraction);
+  Usage& usage = this->UsageOf(account, now);
+  usage.fraction = fraction.fraction() == kWholeFraction
+                       ? std::nullopt
+                       : std::optional(UnpackFraction(fraction.fraction()));
   usage.fraction_at = now;
 }
 
--- a/src/account_quota.h
+++ b/src/account_quota.h
@@ -29,6 +29,8 @@
 
 // Fractions travel as integers.
 inline constexpr std::uint16_t kWholeFraction = 65535;
+std::uint16_t PackFraction(double fraction);
+double UnpackFraction(std::uint16_t packed);
 
 // What this entry knows of its connection to the keepers.
 struct QuotaContact {
@@ -45,6 +47,9 @@
  public:
   // How long the last fraction holds while the keeper is silent.
   static constexpr Duration kHoldTime = std::chrono::seconds(8);
+  // Averaging time of an entry's admissions, here and at the keeper, in
+  // seconds. Long enough to smooth the arrivals of an account at one entry.
+  static constexpr double kRecentTimeS = 3;
   // A fraction that its keeper does not repeat has ended. The keeper may have
   // ended without this entry noticing, so this is longer than a change of
   // keepers.
@@ -96,7 +101,7 @@
     TimePoint fraction_at{};
     // Grows by the fraction with each arrival; an admission costs 1.
     double credit = 0;
-    // Recent admissions, decayed with kRecentTime.
+    // Recent admissions, decayed with kRecentTimeS.
     double recent = 0;
     TimePoint recent_at{};
     // Admissions per second when the keeper was last in contact.
@@ -109,6 +114,9 @@
     TimePoint reported_at{};
   };
 
+  Usage& UsageOf(AccountHash account, TimePoint now);
+  // This entry's equal part of the limit.
+  AccountQuota EqualShare(const AccountQuota& quota) const;
   bool IsWithoutKeeper(AccountHash account) const;
   double FractionInForce(const Usage& usage, TimePoint now) const;
   bool Decide(AccountHash account,
--- a/src/clock.h
+++ b/src/clock.h
@@ -12,6 +12,10 @@
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 using UnixTime = std::chrono::milliseconds;
 
+constexpr double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 class Clock {
  public:
   virtual ~Clock() = default;
--- a/src/hedge_limit.cc
+++ b/src/hedge_limit.cc
@@ -36,8 +36,7 @@
   this->MoveTo(now);
   ++this->At(this->latest).requests;
   ++this->requests;
-  constexpr double kWindowSeconds =
-      std::chrono::duration<double>(kWindow).count();
+  constexpr double kWindowSeconds = ToSeconds(kWindow);
   const double max_credit = std::max(
       1.0, kMaxCreditSeconds * this->share * this->requests / kWindowSeconds);
   this->credit = std::min(this->credit + this->share, max_credit);
--- a/src/latency_histogram.cc
+++ b/src/latency_histogram.cc
@@ -22,7 +22,7 @@
     this->histogram *= kDecay;
     this->count *= kDecay;
   }
-  this->histogram(std::chrono::duration<double>(latency).count());
+  this->histogram(ToSeconds(latency));
   this->count += 1;
 }
 
--- a/src/peer_reach.cc
+++ b/src/peer_reach.cc
@@ -74,7 +74,7 @@
 std::set<InstanceId> PeerReach::SilentEntries(TimePoint now) const {
   std::set<InstanceId> silent;
   for (const auto& [instance, contact] : this->contacts) {
-    if (contact.waiting_since && now - *contact.waiting_since >= kSilenceTime) {
+    if (this->IsSilent(instance, now)) {
       silent.insert(instance);
     }
   }
--- a/src/quota_keeper.cc
+++ b/src/quota_keeper.cc
@@ -10,10 +10,6 @@
 namespace acacia {
 namespace {
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 // Demand is estimated over two times: the shorter one shows a rise soon, the
 // longer one keeps gaps from raising the fraction. Both cover a few requests at
 // the limit, up to kMaxDemandTimeS.
@@ -34,8 +30,6 @@
 // Debts beyond this are older than the window of the bound or assumed.
 constexpr double kMaxDebtS = 1;
 constexpr double kMaxDebtRequests = 10;
-// Averaging time of a reporter's admissions; as at the reporter.
-constexpr double kRateTimeS = 3;
 // An entry that admits less does not report while it has no requests.
 constexpr double kMinRecentAssumed = 0.3;
 // Limited entries report every 0.4 s, so two reports were lost.
@@ -65,28 +59,29 @@
 constexpr std::int32_t kMaxDifference = 1 << 24;
 
 double Decay(double value, Duration elapsed, double time_s) {
-  return value * std::exp(-Seconds(elapsed) / time_s);
+  return value * std::exp(-ToSeconds(elapsed) / time_s);
+}
+
+// The time in which this many requests arrive at the limit, within bounds.
+double TimeFor(double requests,
+               const AccountQuota& quota,
+               double shortest,
+               double longest) {
+  return std::clamp(requests / quota.requests_per_second, shortest, longest);
 }
 
 double FastTime(const AccountQuota& quota) {
-  return std::clamp(kFastDemandRequests / quota.requests_per_second,
-                    kFastDemandTimeS, kMaxDemandTimeS);
+  return TimeFor(kFastDemandRequests, quota, kFastDemandTimeS, kMaxDemandTimeS);
 }
 
 double SlowTime(const AccountQuota& quota) {
-  return std::clamp(kSlowDemandRequests / quota.requests_per_second,
-                    kSlowDemandTimeS, kMaxDemandTimeS);
+  return TimeFor(kSlowDemandRequests, quota, kSlowDemandTimeS, kMaxDemandTimeS);
 }
 
 std::int32_t Difference(std::uint32_t now, std::uint32_t before) {
   return static_cast<std::int32_t>(now - before);
 }
 
-std::uint16_t Quantize(double fraction) {
-  return static_cast<std::uint16_t>(
-      std::lround(std::clamp(fraction, 0.0, 1.0) * kWholeFraction));
-}
-
 }  // namespace
 
 QuotaKeeper::Account& QuotaKeeper::Open(const schema::QuotaUse& use,
@@ -106,9 +101,9 @@
     account.limited_at = now;
     account.level =
         kSpareRequests +
-        std::min(quota.burst, quota.requests_per_second * Seconds(able));
+        std::min(quota.burst, quota.requests_per_second * ToSeconds(able));
   }
-  const double stated = static_cast<double>(use.fraction()) / kWholeFraction;
+  const double stated = UnpackFraction(use.fraction());
   if (is_takeover) {
     // What the keeper before has admitted is not known here.
     account.level = std::min(account.level, 0.0);
@@ -153,11 +148,13 @@
   account.fast_demand += arrived / FastTime(account.quota);
   account.slow_demand += arrived / SlowTime(account.quota);
   from.recent = std::max(
-      Decay(from.recent, now - from.reported_at, kRateTimeS) + charge, 0.0);
+      Decay(from.recent, now - from.reported_at, QuotaLimiter::kRecentTimeS) +
+          charge,
+      0.0);
   from.process = process;
   from.arrived = use.arrived();
   from.admitted = use.admitted();
-  from.stated = static_cast<double>(use.fraction()) / kWholeFraction;
+  from.stated = UnpackFraction(use.fraction());
   from.reported_at = now;
   account.reported_at = now;
 }
@@ -176,10 +173,10 @@
     if (!is_silent) {
       continue;
     }
-    const double own_rate = reporter.recent / kRateTimeS;
+    const double own_rate = reporter.recent / QuotaLimiter::kRecentTimeS;
     const Duration assumed_for =
         std::min<Duration>(silence, QuotaLimiter::kHoldTime);
-    const double assumed = own_rate * Seconds(assumed_for);
+    const double assumed = own_rate * ToSeconds(assumed_for);
     account.level -= assumed - reporter.assumed;
     reporter.assumed = assumed;
     rate += silence < QuotaLimiter::kHoldTime ? own_rate : 0;
@@ -214,11 +211,11 @@
         static_cast<double>(std::max<std::size_t>(view.entries.size(), 1));
     burst = 0;
   }
-  account.level = std::clamp(account.level + allowed_rate * Seconds(elapsed),
+  account.level = std::clamp(account.level + allowed_rate * ToSeconds(elapsed),
                              -(kMaxDebtS * rate + kMaxDebtRequests),
                              burst + kSpareRequests);
   const double level_time =
-      std::clamp(kLevelRequests / rate, kLevelTimeS, kMaxLevelTimeS);
+      TimeFor(kLevelRequests, account.quota, kLevelTimeS, kMaxLevelTimeS);
   const double target =
       std::max(allowed_rate + account.level / level_time - silent_rate,
                kMinTargetShare * allowed_rate);
@@ -264,7 +261,7 @@
                        FractionsByEntry& out,
                        TimePoint now) {
   const double fraction = account.fraction;
-  const schema::AccountFraction message(hash.Value(), Quantize(fraction));
+  const schema::AccountFraction message(hash.Value(), PackFraction(fraction));
   const bool is_lower = fraction * kUrgentFactor < account.broadcast_fraction;
   const bool is_broadcast =
       view.entries.size() <= kSmallFleetEntries && account.is_limited &&
--- a/src/quota_keeper.h
+++ b/src/quota_keeper.h
@@ -84,7 +84,7 @@
     std::uint32_t process = 0;
     std::uint32_t arrived = 0;
     std::uint32_t admitted = 0;
-    // Admissions, decayed with kRateTimeS.
+    // Admissions, decayed with QuotaLimiter::kRecentTimeS.
     double recent = 0;
     TimePoint reported_at{};
     // Admissions assumed since it fell silent.
