State once when a request may be sent again

Cause: MayHold repeated the conditions of MayRetry, Yields had a parameter that is always false since requests wait for the budget apart, and a comment stood beside the wrong function. Change: CanSendAgain and MayRunAgain serve both; MayRetry uses HasOtherBackend. The parameter, and AdmissionQueue::HasAbove that only it used, are gone. The decisions are the same.

--- a/src/admission_queue.cc
+++ b/src/admission_queue.cc
@@ -106,15 +106,6 @@
   this->requests.erase(found);
 }
 
-bool AdmissionQueue::HasAbove(std::uint32_t rank) const {
-  return std::any_of(
-      this->classes.begin(), this->classes.end(), [rank](const auto& queue) {
-        return std::any_of(
-            queue.ranks.begin(), queue.ranks.lower_bound(rank),
-            [](const auto& item) { return !item.second.accounts.empty(); });
-      });
-}
-
 void AdmissionQueue::CountByRank(WaitingCounts& counts) const {
   for (const auto& [id, queued] : this->requests) {
     AddWaiting(counts, queued.waiting.rank);
--- a/src/admission_queue.h
+++ b/src/admission_queue.h
@@ -62,8 +62,6 @@
 
   std::uint32_t Size(WorkClass work_class) const;
   bool IsEmpty() const { return this->requests.empty(); }
-  // True if a request of a higher rank is queued.
-  bool HasAbove(std::uint32_t rank) const;
   void CountByRank(WaitingCounts& counts) const;
 
   // Requests that arrived and were started, whether they were queued or not.
--- a/src/dispatcher_queueing.cc
+++ b/src/dispatcher_queueing.cc
@@ -52,7 +52,7 @@
       continue;
     }
     const std::uint32_t rank = request->work.rank;
-    if (this->Yields(rank, false, now) || !this->HasStartShare(rank, now) ||
+    if (this->Yields(rank, now) || !this->HasStartShare(rank, now) ||
         !this->TryStart(*request, now)) {
       return;
     }
@@ -82,14 +82,10 @@
   }
 }
 
-bool Dispatcher::State::Yields(std::uint32_t rank,
-                               bool is_retry,
-                               TimePoint now) {
+bool Dispatcher::State::Yields(std::uint32_t rank, TimePoint now) {
   // What other entries serve is not known here, so the guaranteed part is that
   // of all requests.
-  return this->is_ordered &&
-         (this->waiting_reports.HasAbove(rank, now) ||
-          (is_retry && this->queue.HasAbove(rank))) &&
+  return this->is_ordered && this->waiting_reports.HasAbove(rank, now) &&
          !this->queue.Shares().IsOwed(rank, 1);
 }
 
--- a/src/dispatcher_retries.cc
+++ b/src/dispatcher_retries.cc
@@ -12,20 +12,32 @@
 // Within this time, an entry hears of the attempts of other entries.
 constexpr Duration kEvidenceDelay = std::chrono::milliseconds(100);
 
+// Whether a request whose attempt ended so may run, or run again.
+bool MayRunAgain(const RequestState& request, AttemptResult result) {
+  return !UnknownOutcomeKind(result).has_value() ||
+         (request.work.idempotent &&
+          request.unknown_outcome_attempts < kMaxUnknownOutcomeAttempts);
+}
+
 }  // namespace
 
+// Whether any further attempt is possible, wherever it goes.
+bool Dispatcher::State::CanSendAgain(const RequestState& request,
+                                     bool replayable,
+                                     TimePoint now) const {
+  const Work& work = request.work;
+  return replayable &&
+         now + this->chooser->MedianLatency(work) < work.deadline &&
+         request.last_attempt.Value() < kMaxAttempts &&
+         !this->QuarantineLeft(work, now);
+}
+
 bool Dispatcher::State::MayRetry(const RequestState& request,
                                  AttemptResult result,
                                  bool replayable,
                                  TimePoint now) {
-  const bool not_run = !UnknownOutcomeKind(result).has_value();
-  const Duration expected_latency = this->chooser->MedianLatency(request.work);
-  if (!replayable || now + expected_latency >= request.work.deadline ||
-      request.last_attempt.Value() >= kMaxAttempts ||
-      !this->HasAttemptsLeft(request) ||
-      !this->chooser->HasAlternative(request.failed) ||
-      this->chooser->AllAtRateLimit(request.failed, now) ||
-      this->QuarantineLeft(request.work, now)) {
+  if (!this->CanSendAgain(request, replayable, now) ||
+      !this->HasOtherBackend(request, now)) {
     return false;
   }
   if (this->windowed_budget && result == AttemptResult::kNotSent) {
@@ -35,15 +47,8 @@
   if (result == AttemptResult::kRefused && !this->windowed_budget) {
     return this->MayRetryAfterRefusal(now);
   }
-  if (!not_run &&
-      (!request.work.idempotent ||
-       request.unknown_outcome_attempts >= kMaxUnknownOutcomeAttempts)) {
-    return false;
-  }
-  if (this->held.HasBudgetClaim(request.work.rank)) {
-    return false;
-  }
-  return this->SpendRetry(now);
+  return MayRunAgain(request, result) &&
+         !this->held.HasBudgetClaim(request.work.rank) && this->SpendRetry(now);
 }
 
 bool Dispatcher::State::HasAttemptsLeft(const RequestState& request) const {
@@ -72,18 +77,11 @@
                                 bool replayable,
                                 TimePoint now) {
   // Only a request that did not run waits for the budget.
-  const bool may_run_again =
-      !UnknownOutcomeKind(result).has_value() ||
-      (request.work.idempotent && this->windowed_budget &&
-       this->windowed_budget->CanSpend(now) &&
-       request.unknown_outcome_attempts < kMaxUnknownOutcomeAttempts);
-  return this->windowed_budget && replayable && may_run_again &&
-         now + this->chooser->MedianLatency(request.work) <
-             request.work.deadline &&
-         request.last_attempt.Value() < kMaxAttempts &&
-         (this->HasOtherBackend(request, now) ||
-          this->HasRepeat(request, now)) &&
-         !this->QuarantineLeft(request.work, now);
+  const bool not_run = !UnknownOutcomeKind(result).has_value();
+  return this->windowed_budget && MayRunAgain(request, result) &&
+         (not_run || this->windowed_budget->CanSpend(now)) &&
+         this->CanSendAgain(request, replayable, now) &&
+         (this->HasOtherBackend(request, now) || this->HasRepeat(request, now));
 }
 
 TimePoint Dispatcher::State::ProvenUntil(const RequestState& request,
--- a/src/dispatcher_state.h
+++ b/src/dispatcher_state.h
@@ -66,8 +66,11 @@
                 bool replayable,
                 TimePoint now);
   bool MayRetryAfterRefusal(TimePoint now);
-  // True if the request may be sent to a backend server that has not had it.
+  bool CanSendAgain(const RequestState& request,
+                    bool replayable,
+                    TimePoint now) const;
   bool HasAttemptsLeft(const RequestState& request) const;
+  // True if the request may be sent to a backend server that has not had it.
   bool HasOtherBackend(const RequestState& request, TimePoint now) const;
   bool HasRepeat(const RequestState& request, TimePoint now) const;
   bool MayHold(const RequestState& request,
@@ -85,8 +88,8 @@
   bool TryStartHeld(const HeldRequest& held, TimePoint now);
   void TrimHeld(TimePoint now);
   // True when a request of this rank leaves the room to higher ranks, which
-  // wait at other entries, or, for a retry, at this one.
-  bool Yields(std::uint32_t rank, bool is_retry, TimePoint now);
+  // wait at other entries.
+  bool Yields(std::uint32_t rank, TimePoint now);
   // Whether this entry may start a waiting request of this rank by its share of
   // the room.
   bool HasStartShare(std::uint32_t rank, TimePoint now);
