Keep what other entries count by one class

Cause: OutstandingBytes kept the reports of other entries, with their expiry, in the way in which FleetPool keeps their attempts in flight. Change: PeerCounts serves both, each with its own expiry.

--- a/src/fleet_pool.cc
+++ b/src/fleet_pool.cc
@@ -18,9 +18,6 @@
 // is known.
 constexpr Duration kProbeDelay = std::chrono::milliseconds(700);
 constexpr Duration kProbeSpreadPerEntry = std::chrono::milliseconds(400);
-// Another entry's in-flight count expires after this time. Entries resend it
-// earlier while attempts are running.
-constexpr Duration kPeerInFlightExpiry = std::chrono::milliseconds(1200);
 constexpr Duration kInFlightResendInterval = std::chrono::milliseconds(500);
 // When a smaller share of the usable backend servers is trusted, the least
 // suspect ones are used as well: the fault is then probably in the service as a
@@ -361,17 +358,14 @@
 // load that the backend server reported also includes requests of entries that
 // this one does not hear from. The larger of the two is used.
 double FleetPool::EstimateLoad(const FleetBackend& backend, TimePoint now) {
-  std::uint32_t peer_count = 0;
-  for (const PeerInFlight& each : backend.peer_in_flight) {
-    peer_count += now - each.at < kPeerInFlightExpiry ? each.count : 0;
-  }
   const std::chrono::duration<double> age = now - backend.reported_at;
   const double report_weight = now - backend.reported_at < kReportExpiry
                                    ? std::exp(-(age / kReportDecayTime))
                                    : 0;
   const double reported =
       report_weight * (backend.reported.running + backend.reported.waiting);
-  return std::max<double>(reported, backend.InFlight() + peer_count);
+  return std::max<double>(reported,
+                          backend.InFlight() + backend.peer_in_flight.Sum(now));
 }
 
 bool FleetPool::IsFull(const PooledBackend& pooled, TimePoint now) const {
@@ -383,18 +377,6 @@
   return static_cast<const FleetBackend&>(pooled).shared.IsSuspect(now);
 }
 
-void FleetPool::RecordPeerInFlight(FleetBackend& backend,
-                                   const std::string& entry,
-                                   std::uint32_t count,
-                                   TimePoint now) {
-  std::erase_if(backend.peer_in_flight, [&](const PeerInFlight& each) {
-    return each.entry == entry || now - each.at >= kPeerInFlightExpiry;
-  });
-  if (count > 0) {
-    backend.peer_in_flight.push_back({entry, count, now});
-  }
-}
-
 // Returns the cheapest of a few candidates drawn at random from each of three
 // groups: this entry's own cell, the rest of its failure domain, and other
 // failure domains.
@@ -740,7 +722,7 @@
     if (backend == nullptr) {
       continue;
     }
-    RecordPeerInFlight(*backend, from, each.in_flight, now);
+    backend->peer_in_flight.Set(from, each.in_flight, now);
     backend->outstanding.OnReport(from, each.outstanding_bytes, now);
     backend->rate_limit.OnPeerAttempts(each.started, now);
     if (each.rate_limit >= 0) {
--- a/src/fleet_pool.h
+++ b/src/fleet_pool.h
@@ -20,20 +20,19 @@
 #include "src/backend_chooser.h"
 #include "src/latency_window.h"
 #include "src/outstanding_bytes.h"
+#include "src/peer_counts.h"
 #include "src/random_source.h"
 #include "src/shared_health.h"
 #include "src/shared_rate_limit.h"
 
 namespace acacia {
 
-// The number of attempts that another entry last reported as in flight.
-struct PeerInFlight {
-  std::string entry;
-  std::uint32_t count = 0;
-  TimePoint at;
-};
-
 struct FleetBackend : PooledBackend {
+  // Another entry's in-flight count expires after this time. Entries resend it
+  // earlier while attempts are running.
+  static constexpr Duration kPeerInFlightExpiry =
+      std::chrono::milliseconds(1200);
+
   SharedHealth shared;
   bool is_cold = false;
   // In this entry's cell, or in its failure domain where cells are not in use.
@@ -43,7 +42,8 @@
   // The backend server reported its load to this entry, which has not sent it
   // to the other entries yet.
   bool has_unsent_load = false;
-  std::vector<PeerInFlight> peer_in_flight;
+  // The attempts in flight that other entries reported.
+  PeerCounts peer_in_flight{kPeerInFlightExpiry};
   OutstandingBytes outstanding;
   // The in-flight count last sent to the other entries, and when it was sent.
   std::uint32_t sent_in_flight = 0;
@@ -174,10 +174,6 @@
   static bool HasReportedQueue(const FleetBackend& backend, TimePoint now);
   // Estimated number of attempts at the backend server, from all entries.
   static double EstimateLoad(const FleetBackend& backend, TimePoint now);
-  static void RecordPeerInFlight(FleetBackend& backend,
-                                 const std::string& entry,
-                                 std::uint32_t count,
-                                 TimePoint now);
   FleetBackend* Find(const BackendId& id) const;
 
   ServiceName service;
--- a/src/outstanding_bytes.h
+++ b/src/outstanding_bytes.h
@@ -7,9 +7,9 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include "src/clock.h"
+#include "src/peer_counts.h"
 
 namespace acacia {
 
@@ -36,7 +36,9 @@
   void OnStart(std::uint64_t body_bytes);
   void OnRelease(std::uint64_t body_bytes);
   // Another entry reported the bytes that it has there.
-  void OnReport(const std::string& entry, std::uint64_t bytes, TimePoint now);
+  void OnReport(const std::string& entry, std::uint64_t bytes, TimePoint now) {
+    this->peers.Set(entry, bytes, now);
+  }
 
   // This entry's own.
   std::uint64_t Own() const { return this->own; }
@@ -44,7 +46,9 @@
   // Returns this entry's own for a report.
   std::uint64_t TakeReport();
 
-  std::uint64_t Total(TimePoint now) const;
+  std::uint64_t Total(TimePoint now) const {
+    return this->own + this->peers.Sum(now);
+  }
   // Whether a request may be sent there. One request always has room where
   // nothing is outstanding.
   bool HasRoom(std::uint64_t body_bytes,
@@ -56,15 +60,9 @@
               TimePoint now) const;
 
  private:
-  struct Report {
-    std::string entry;
-    std::uint64_t bytes = 0;
-    TimePoint at;
-  };
-
   std::uint64_t own = 0;
   std::uint64_t sent = 0;
-  std::vector<Report> reports;
+  PeerCounts peers{kReportExpiry};
 };
 
 }  // namespace acacia
