Do once what the exchange of configurations and answers did twice

Cause: each newer configuration was parsed and written again to hide keys, also where it has none; a reply that is no newer than what is held was decoded before it was ignored; the bounds of final statuses stood in two files. Change: keys are hidden only where accounts exist, the version is compared first, and backend_connection.h has the bounds. What is read and refused is the same.

--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -58,6 +58,10 @@
                       Duration user_timeout,
                       const KeepAliveProbes& keep_alive = {});
 
+// The statuses of final answers, as HTTP defines them.
+inline constexpr int kFirstFinalStatus = 200;
+inline constexpr int kLastFinalStatus = 599;
+
 // True if the peer ended the connection after it had received everything that
 // was sent: no error, no reset and no byte unacknowledged. An end of file alone
 // does not say so: a failed write takes the socket's error with it, and a reset
--- a/src/host_control.cc
+++ b/src/host_control.cc
@@ -328,9 +328,13 @@
     return;
   }
   const bool is_newer = configuration->generation > this->generation;
-  this->configurations.OnRowRead(
-      row.version, is_newer ? std::optional(this->adapter.hide_keys(row.value))
-                            : std::nullopt);
+  std::optional<std::string> shared_text;
+  if (is_newer) {
+    shared_text = configuration->keyed_accounts
+                      ? this->adapter.hide_keys(row.value)
+                      : row.value;
+  }
+  this->configurations.OnRowRead(row.version, std::move(shared_text));
   LogEvent(is_newer ? "configuration_read" : "configuration_not_newer")
       .With("generation", configuration->generation)
       .With("in_force", this->generation)
@@ -620,12 +624,13 @@
 
 // What cannot be read is ignored: the store, or another entry, may have better.
 void HostControl::State::OnRowReply(const TableRows& newest) {
+  TableFollower& follower = this->Follower(FollowedTable::Configuration);
   const bool is_readable =
+      newest.version > follower.Version() &&
       this->configurations.IsReply(newest) &&
       this->adapter.read_configuration(newest.rows.front().value,
                                        MakeServicePolicy(this->host));
   const Generation before = this->generation;
-  TableFollower& follower = this->Follower(FollowedTable::Configuration);
   if (!is_readable || !follower.ApplyNewest(newest)) {
     return;
   }
--- a/src/http_client.cc
+++ b/src/http_client.cc
@@ -25,11 +25,6 @@
 constexpr Duration kUserTimeout = std::chrono::seconds(3);
 constexpr KeepAliveProbes kShortProbes{1, 1, 2};
 
-// Statuses of a final reply. After an interim one the connection holds another
-// reply, which must not be taken for that of the next request.
-constexpr int kFirstStatus = 200;
-constexpr int kLastStatus = 599;
-
 http::request<http::string_body> ToBeast(HttpRequest& request,
                                          const std::string& host) {
   http::request<http::string_body> out;
@@ -122,7 +117,9 @@
   const auto [read_error, read] =
       co_await http::async_read(*state.stream, state.buffer, parser, kAwait);
   const auto status = static_cast<int>(parser.get().result_int());
-  const bool broken = status < kFirstStatus || status > kLastStatus;
+  // After an interim reply the connection holds another one, which must not be
+  // taken for that of the next request.
+  const bool broken = status < kFirstFinalStatus || status > kLastFinalStatus;
   // Without a length, an end of file may cut the reply off.
   const bool cut_off =
       parser.need_eof() && !EndedCleanly(state.stream->socket());
--- a/src/proxy_answer.cc
+++ b/src/proxy_answer.cc
@@ -19,8 +19,6 @@
 
 constexpr auto kAwait = net::as_tuple(net::use_awaitable);
 constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
-constexpr int kFirstFinalStatus = 200;
-constexpr int kLastStatus = 599;
 constexpr int kContinueStatus = 100;
 constexpr int kProcessingStatus = 102;
 constexpr int kEarlyHintsStatus = 103;
@@ -55,7 +53,7 @@
       co_return failed;
     }
     const int status = static_cast<int>(this->parser->get().result_int());
-    if (status > kLastStatus) {
+    if (status > kLastFinalStatus) {
       co_return AttemptResult::kBroken;
     }
     if (status >= kFirstFinalStatus && this->IsForOtherRequest()) {
