Share the fixtures of load tests, and one list of loads

Cause: four tests built the same service view, and four cases of the quota simulation listed the same six loads. Change: LoadView in test/load_model.h and the type list Loads.

--- a/test/correctness/early_refusal_test.cc
+++ b/test/correctness/early_refusal_test.cc
@@ -12,16 +12,8 @@
 using std::chrono::seconds;
 
 ServiceView MakeView() {
-  ServiceView view;
-  view.policy.retry_window = RetryWindow{0.2, 40, seconds(10)};
+  ServiceView view = LoadView(10, 2, {0.2, 40, seconds(10)});
   view.is_ordered = true;
-  for (int i = 0; i < 10; ++i) {
-    BackendServer server;
-    server.id = BackendId("b" + std::to_string(i));
-    server.failure_domain = FailureDomain("a");
-    server.slots = 2;
-    view.backend_servers.push_back(server);
-  }
   return view;
 }
 
--- a/test/correctness/held_requests_test.cc
+++ b/test/correctness/held_requests_test.cc
@@ -15,16 +15,7 @@
 constexpr double kExtra = 192.0 / 46;
 
 ServiceView MakeView(int backends) {
-  ServiceView view;
-  view.policy.retry_window = RetryWindow{kRatio, kExtra, seconds(10)};
-  for (int i = 0; i < backends; ++i) {
-    BackendServer server;
-    server.id = BackendId("b" + std::to_string(i));
-    server.failure_domain = FailureDomain("a");
-    server.slots = 4;
-    view.backend_servers.push_back(server);
-  }
-  return view;
+  return LoadView(backends, 4, {kRatio, kExtra, seconds(10)});
 }
 
 Work Submission() {
--- a/test/correctness/order_load_test.cc
+++ b/test/correctness/order_load_test.cc
@@ -15,17 +15,10 @@
 constexpr int kSlots = 2;
 
 ServiceView MakeView(bool is_ordered) {
-  ServiceView view;
-  view.policy.retry_window = RetryWindow{0.2, 192.0 / kEntries, seconds(10)};
+  ServiceView view =
+      LoadView(kBackends, kSlots, {0.2, 192.0 / kEntries, seconds(10)});
   view.cell_size = kEntries;
   view.is_ordered = is_ordered;
-  for (int i = 0; i < kBackends; ++i) {
-    BackendServer server;
-    server.id = BackendId("b" + std::to_string(i));
-    server.failure_domain = FailureDomain("a");
-    server.slots = kSlots;
-    view.backend_servers.push_back(server);
-  }
   return view;
 }
 
--- a/test/correctness/proven_retry_test.cc
+++ b/test/correctness/proven_retry_test.cc
@@ -15,16 +15,9 @@
 constexpr int kBackends = 80;
 
 ServiceView MakeView() {
-  ServiceView view;
-  view.policy.retry_window = RetryWindow{0.2, 192.0 / kEntries, seconds(10)};
+  ServiceView view =
+      LoadView(kBackends, 4, {0.2, 192.0 / kEntries, seconds(10)});
   view.cell_size = kEntries;
-  for (int i = 0; i < kBackends; ++i) {
-    BackendServer server;
-    server.id = BackendId("b" + std::to_string(i));
-    server.failure_domain = FailureDomain("a");
-    server.slots = 4;
-    view.backend_servers.push_back(server);
-  }
   return view;
 }
 
--- a/test/correctness/quota_fleet_test.cc
+++ b/test/correctness/quota_fleet_test.cc
@@ -11,6 +11,7 @@
 #include <numeric>
 #include <sstream>
 #include <string>
+#include <tuple>
 
 #include "src/fleet_quota.h"
 #include "src/random_source.h"
@@ -282,6 +283,19 @@
           static_cast<std::uint64_t>(seed)};
 }
 
+// A limit and the multiple of the usual demand.
+template <int limit, int heat>
+struct Load {
+  static constexpr int kLimit = limit;
+  static constexpr int kHeat = heat;
+};
+using Loads = std::tuple<Load<270, 3>,
+                         Load<270, 9>,
+                         Load<20, 3>,
+                         Load<20, 9>,
+                         Load<5, 3>,
+                         Load<5, 9>>;
+
 double UsualRate(const AccountQuota& quota) {
   return quota.requests_per_second / kLimitRatio;
 }
@@ -338,16 +352,10 @@
   CHECK(fleet.Refused(0, fleet.Now()) == 0);
 }
 
-TEMPLATE_TEST_CASE_SIG("a hot account is held to its limit over the fleet",
-                       "",
-                       ((int limit, int heat), limit, heat),
-                       (270, 3),
-                       (270, 9),
-                       (20, 3),
-                       (20, 9),
-                       (5, 3),
-                       (5, 9)) {
-  const Case c = DrawCase(limit, heat);
+TEMPLATE_LIST_TEST_CASE("a hot account is held to its limit over the fleet",
+                        "",
+                        Loads) {
+  const Case c = DrawCase(TestType::kLimit, TestType::kHeat);
   Fleet fleet(c.quota, c.seed);
   fleet.Run(5000);
   fleet.SetDemand(UsualRate(c.quota));
@@ -418,17 +426,11 @@
   CHECK(share >= kMinAdmittedShareCut);
 }
 
-TEMPLATE_TEST_CASE_SIG(
+TEMPLATE_LIST_TEST_CASE(
     "a hot account is held to its limit when its keeper ends",
     "",
-    ((int limit, int heat), limit, heat),
-    (270, 3),
-    (270, 9),
-    (20, 3),
-    (20, 9),
-    (5, 3),
-    (5, 9)) {
-  const Case c = DrawCase(limit, heat);
+    Loads) {
+  const Case c = DrawCase(TestType::kLimit, TestType::kHeat);
   Fleet fleet(c.quota, c.seed);
   fleet.Run(10000);
   fleet.SetDemand(UsualRate(c.quota) * c.heat);
@@ -444,17 +446,11 @@
   CheckAdmitted(fleet, c, 40000, 50000, "keeper back");
 }
 
-TEMPLATE_TEST_CASE_SIG(
+TEMPLATE_LIST_TEST_CASE(
     "a hot account is held to its limit when entries restart",
     "",
-    ((int limit, int heat), limit, heat),
-    (270, 3),
-    (270, 9),
-    (20, 3),
-    (20, 9),
-    (5, 3),
-    (5, 9)) {
-  const Case c = DrawCase(limit, heat);
+    Loads) {
+  const Case c = DrawCase(TestType::kLimit, TestType::kHeat);
   Fleet fleet(c.quota, c.seed);
   fleet.Run(10000);
   fleet.SetDemand(UsualRate(c.quota) * c.heat);
@@ -471,17 +467,11 @@
   CheckAdmitted(fleet, c, 35000, 45000, "all restarted");
 }
 
-TEMPLATE_TEST_CASE_SIG(
+TEMPLATE_LIST_TEST_CASE(
     "a lower limit binds one window after it came into force",
     "",
-    ((int limit, int heat), limit, heat),
-    (270, 3),
-    (270, 9),
-    (20, 3),
-    (20, 9),
-    (5, 3),
-    (5, 9)) {
-  Case c = DrawCase(limit, heat);
+    Loads) {
+  Case c = DrawCase(TestType::kLimit, TestType::kHeat);
   Fleet fleet(c.quota, c.seed);
   fleet.Run(10000);
   fleet.SetDemand(UsualRate(c.quota) * c.heat);
--- a/test/load_model.h
+++ b/test/load_model.h
@@ -18,6 +18,22 @@
 
 namespace acacia {
 
+// A service whose backend servers are all in the entries' failure domain.
+inline ServiceView LoadView(int backends,
+                            std::uint32_t slots,
+                            const RetryWindow& window) {
+  ServiceView view;
+  view.policy.retry_window = window;
+  for (int i = 0; i < backends; ++i) {
+    BackendServer server;
+    server.id = BackendId("b" + std::to_string(i));
+    server.failure_domain = FailureDomain("a");
+    server.slots = slots;
+    view.backend_servers.push_back(server);
+  }
+  return view;
+}
+
 // What a caller got.
 struct CallerResult {
   Work work;
