Name requests that cannot start in time plainly

Change: FindTooLate and min_wait in place of figurative names; the function that picks the entry to pass evidence on says that it changes nothing.

--- a/src/admission_queue.cc
+++ b/src/admission_queue.cc
@@ -150,25 +150,25 @@
   this->Remove(request);
 }
 
-std::vector<RequestId> AdmissionQueue::FindHopeless(TimePoint now) const {
-  std::vector<RequestId> hopeless;
+std::vector<RequestId> AdmissionQueue::FindTooLate(TimePoint now) const {
+  std::vector<RequestId> too_late;
   for (const ClassQueue& queue : this->classes) {
     std::size_t ahead = 0;
     for (const auto& [rank, rank_queue] : queue.ranks) {
-      this->AddHopeless(rank, rank_queue, ahead, hopeless, now);
+      this->AddTooLate(rank, rank_queue, ahead, too_late, now);
       for (const auto& [account, requests] : rank_queue.accounts) {
         ahead += requests.size();
       }
     }
   }
-  return hopeless;
+  return too_late;
 }
 
-void AdmissionQueue::AddHopeless(std::uint32_t rank,
-                                 const RankQueue& queue,
-                                 std::size_t ahead,
-                                 std::vector<RequestId>& hopeless,
-                                 TimePoint now) const {
+void AdmissionQueue::AddTooLate(std::uint32_t rank,
+                                const RankQueue& queue,
+                                std::size_t ahead,
+                                std::vector<RequestId>& too_late,
+                                TimePoint now) const {
   // Newer requests of the rank go first, so they count like higher ranks.
   const double drain_rate =
       this->shares.StartRate(now) - this->shares.ArrivalRate(rank, now);
@@ -178,14 +178,14 @@
       // One of each other account goes before the next of this one.
       position += queue.accounts.size();
       const QueuedRequest& queued = this->requests.at(each->second);
-      const Duration patience =
+      const Duration min_wait =
           (queued.waiting.start_deadline - queued.pushed_at) / kWaitPart;
       const std::chrono::duration<double> left =
           queued.waiting.start_deadline - now;
       const bool is_in_time = drain_rate > 0 && static_cast<double>(position) <=
                                                     drain_rate * left.count();
-      if (!is_in_time && now - queued.pushed_at >= patience) {
-        hopeless.push_back(each->second);
+      if (!is_in_time && now - queued.pushed_at >= min_wait) {
+        too_late.push_back(each->second);
       }
     }
   }
--- a/src/admission_queue.h
+++ b/src/admission_queue.h
@@ -54,7 +54,7 @@
 
   // Requests that will not start in time at the rates of the last seconds:
   // those before them take longer, or newer ones will always be served first.
-  std::vector<RequestId> FindHopeless(TimePoint now) const;
+  std::vector<RequestId> FindTooLate(TimePoint now) const;
 
   // Removes and returns the requests whose start deadline has passed.
   std::vector<RequestId> TakeExpired(TimePoint now);
@@ -88,11 +88,11 @@
 
   ClassQueue& QueueOf(WorkClass work_class);
   const ClassQueue& QueueOf(WorkClass work_class) const;
-  void AddHopeless(std::uint32_t rank,
-                   const RankQueue& queue,
-                   std::size_t ahead,
-                   std::vector<RequestId>& hopeless,
-                   TimePoint now) const;
+  void AddTooLate(std::uint32_t rank,
+                  const RankQueue& queue,
+                  std::size_t ahead,
+                  std::vector<RequestId>& too_late,
+                  TimePoint now) const;
   // The rank whose turn it is; null if the queue is empty.
   const RankQueue* NextRank(const ClassQueue& queue) const;
   bool IsFull(WorkClass work_class) const;
--- a/src/dispatcher_queueing.cc
+++ b/src/dispatcher_queueing.cc
@@ -121,8 +121,8 @@
     return;
   }
   this->next_early_refusal = now + kQueuePollInterval;
-  for (const RequestId hopeless : this->queue.FindHopeless(now)) {
-    this->Refuse(hopeless, ErrorKind::kDeadlineTooShort, now);
+  for (const RequestId too_late : this->queue.FindTooLate(now)) {
+    this->Refuse(too_late, ErrorKind::kDeadlineTooShort, now);
     ++this->refused_early;
   }
   if (this->refused_early > 0 && now >= this->next_overload_log) {
--- a/src/dispatcher_retries.cc
+++ b/src/dispatcher_retries.cc
@@ -127,10 +127,10 @@
   if (this->held.IsEmpty()) {
     return;
   }
-  for (const HeldRequest& hopeless :
-       this->held.FindHopeless(*this->windowed_budget, now)) {
-    this->Refuse(hopeless.request,
-                 hopeless.needs_budget ? ErrorKind::kRetryBudgetSpent
+  for (const HeldRequest& too_late :
+       this->held.FindTooLate(*this->windowed_budget, now)) {
+    this->Refuse(too_late.request,
+                 too_late.needs_budget ? ErrorKind::kRetryBudgetSpent
                                        : ErrorKind::kDeadlineTooShort,
                  now);
   }
--- a/src/evidence_fanout.cc
+++ b/src/evidence_fanout.cc
@@ -70,8 +70,8 @@
     : self(std::move(self)),
       turn(std::hash<std::string>()(this->self.Value())) {}
 
-const InstanceId& EvidenceFanout::NextForwarder(
-    const std::vector<InstanceId>& cell) {
+const InstanceId& EvidenceFanout::ForwarderIn(
+    const std::vector<InstanceId>& cell) const {
   return cell[this->turn % cell.size()];
 }
 
@@ -102,7 +102,7 @@
           cell.size() < kMinForwardedEntries) {
         direct[instance].backends.push_back(each);
       } else if (covered.insert(cell.front()).second) {
-        forwarded[this->NextForwarder(cell)].backends.push_back(each);
+        forwarded[this->ForwarderIn(cell)].backends.push_back(each);
       }
     }
   }
--- a/src/evidence_fanout.h
+++ b/src/evidence_fanout.h
@@ -42,11 +42,12 @@
                               const Cells& cells);
 
  private:
-  // The next entry of the cell. Successive reports go to different entries, so
-  // that one that is down loses few of them.
-  const InstanceId& NextForwarder(const std::vector<InstanceId>& cell);
+  // The entry of the cell whose turn it is.
+  const InstanceId& ForwarderIn(const std::vector<InstanceId>& cell) const;
 
   InstanceId self;
+  // Rises with each plan, so that successive reports go to different entries
+  // and one that is down loses few of them.
   std::size_t turn;
 };
 
--- a/src/held_requests.cc
+++ b/src/held_requests.cc
@@ -79,20 +79,20 @@
       });
 }
 
-std::vector<HeldRequest> HeldRequests::FindHopeless(WindowedRetryBudget& budget,
-                                                    TimePoint now) const {
-  std::vector<HeldRequest> hopeless;
+std::vector<HeldRequest> HeldRequests::FindTooLate(WindowedRetryBudget& budget,
+                                                   TimePoint now) const {
+  std::vector<HeldRequest> too_late;
   std::size_t ahead = 0;
   for (const auto& [key, held] : this->ordered) {
     if (held.start_deadline <= now || held.not_before >= held.start_deadline ||
         (held.needs_budget &&
          budget.SpendableBy(held.start_deadline, now) <= ahead)) {
-      hopeless.push_back(held);
+      too_late.push_back(held);
     } else if (held.needs_budget) {
       ++ahead;
     }
   }
-  return hopeless;
+  return too_late;
 }
 
 std::optional<TimePoint> HeldRequests::NextTime(WindowedRetryBudget& budget,
--- a/src/held_requests.h
+++ b/src/held_requests.h
@@ -57,9 +57,9 @@
 
   // Requests that will not start in time: their start deadline has passed, or
   // the budget that can become free until then belongs to those before them.
-  std::vector<HeldRequest> FindHopeless(WindowedRetryBudget& budget,
-                                        TimePoint now) const;
-  // The next time at which a request could start or becomes hopeless.
+  std::vector<HeldRequest> FindTooLate(WindowedRetryBudget& budget,
+                                       TimePoint now) const;
+  // The next time at which a request could start or becomes too late to start.
   // `retry_interval` is the time between attempts to find a backend server
   // while the budget allows one.
   std::optional<TimePoint> NextTime(WindowedRetryBudget& budget,
