Review: show that a late heartbeat lists an endpoint again after its removal

Claim: an endpoint whose registration was removed gets requests again when the store performs one of its earlier heartbeats late.

--- a/review/standins-2/world2.cc
+++ b/review/standins-2/world2.cc
@@ -504,18 +504,34 @@
         this->Serve(stream);
       })) {}
 
+std::string Endpoint::Report() {
+  return json::serialize(json::object{{"service", this->options.service},
+                                      {"address", this->Address()},
+                                      {"zone", this->options.zone},
+                                      {"version", "v1"},
+                                      {"slots", this->options.slots},
+                                      {"state", this->state},
+                                      {"coldLeftS", 0},
+                                      {"seq", ++this->sequence},
+                                      {"born", this->born}});
+}
+
 void Endpoint::Write() {
-  this->store.Put(
-      "servers", this->options.id,
-      json::serialize(json::object{{"service", this->options.service},
-                                   {"address", this->Address()},
-                                   {"zone", this->options.zone},
-                                   {"version", "v1"},
-                                   {"slots", this->options.slots},
-                                   {"state", this->state},
-                                   {"coldLeftS", 0},
-                                   {"seq", ++this->sequence},
-                                   {"born", this->born}}));
+  this->store.Put("servers", this->options.id, this->Report());
+}
+
+void Endpoint::BeatLate(double after_s) {
+  const std::lock_guard lock(this->mutex);
+  std::thread([this, report = this->Report(), after_s] {
+    SleepFor(after_s);
+    Record("the store performs a late heartbeat of " + this->options.id + ": " +
+           report);
+    this->store.Put("servers", this->options.id, report);
+  }).detach();
+}
+
+void Endpoint::Exit() {
+  this->has_ended = true;
 }
 
 void Endpoint::Register() {
@@ -574,7 +590,17 @@
 
 void Endpoint::Serve(Stream& stream) {
   std::string copy;
-  while (const auto head = stream.ReadHead(Now() + 10)) {
+  for (;;) {
+    std::optional<std::string> head;
+    const double idle_until = Now() + 10;
+    do {
+      head = stream.ReadHead(std::min(Now() + 0.1, idle_until));
+    } while (!head && stream.TimedOut() && Now() < idle_until &&
+             !this->has_ended);
+    if (!head || this->has_ended) {
+      stream.Reset();
+      return;
+    }
     Request request;
     request.head = *head;
     request.id = Header(*head, "X-Acaciaswitch-Request-Id");
@@ -638,12 +664,13 @@
     }
     const double done = std::min(Now() + this->options.work_s, until);
     bool left = false;
-    while (Now() < done && !left) {
+    while (Now() < done && !left && !this->has_ended) {
       left = stream.WaitForClose(std::min(0.05, done - Now()));
     }
     this->Leave();
-    if (left) {
+    if (left || this->has_ended) {
       Record("endpoint " + this->options.id + " drops " + request.id);
+      stream.Reset();
       return;
     }
     bool keep = true;
--- a/review/standins-2/world2.h
+++ b/review/standins-2/world2.h
@@ -154,7 +154,13 @@
   // Registers it as ready and keeps its heartbeats going.
   void Register();
   void SetState(const std::string& state);
+  // Ends the heartbeats and removes the registration; it goes on serving.
   void Unregister();
+  // Makes a heartbeat whose write is not answered. The store performs it after
+  // this time, whatever has been written meanwhile.
+  void BeatLate(double after_s);
+  // Ends: closes its connections and takes no more.
+  void Exit();
 
   // Other answer headers, such as a limit.
   std::function<std::string(const Request&)> more_headers;
@@ -174,6 +180,7 @@
   void Serve(Stream& stream);
   bool Enter(double until);
   void Leave();
+  std::string Report();
   void Write();
 
   Store& store;
@@ -184,6 +191,7 @@
   int waiting = 0;
   std::string state = "ready";
   bool registered = false;
+  std::atomic<bool> has_ended{false};
   std::int64_t sequence = 0;
   std::int64_t born;
   std::unique_ptr<Listener> listener;
