Review: show that a crashing request that comes several times at once is stopped late

Claim: crashes at the same time count as one, so a request that comes four times at once crashes twelve endpoints before it is refused.

--- a/review/standins-2/world2.cc
+++ b/review/standins-2/world2.cc
@@ -324,18 +324,30 @@
 }
 
 Listener::Listener(const std::string& host, Serve serve)
-    : handle(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-  sockaddr_in local = ParseAddress(host + ":0");
+    : serve(std::move(serve)), address(host + ":0") {
+  this->Open();
+}
+
+void Listener::Open() {
+  this->handle = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(this->handle, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in local = ParseAddress(this->address);
   socklen_t size = sizeof(local);
   if (bind(this->handle, reinterpret_cast<sockaddr*>(&local), size) != 0 ||
       listen(this->handle, 512) != 0) {
-    Finish(2, "cannot listen on " + host);
+    Finish(2, "cannot listen on " + this->address);
   }
   getsockname(this->handle, reinterpret_cast<sockaddr*>(&local), &size);
-  this->address = host + ":" + std::to_string(ntohs(local.sin_port));
-  std::thread([listening = this->handle, serve = std::move(serve)] {
+  this->address = this->address.substr(0, this->address.rfind(':')) + ":" +
+                  std::to_string(ntohs(local.sin_port));
+  std::thread([listening = this->handle, serve = this->serve] {
     for (;;) {
       const int accepted = accept4(listening, nullptr, nullptr, SOCK_CLOEXEC);
+      if (accepted < 0 && errno == EINVAL) {
+        close(listening);
+        return;
+      }
       if (accepted < 0) {
         continue;
       }
@@ -349,6 +361,10 @@
   }).detach();
 }
 
+void Listener::Shut() {
+  shutdown(this->handle, SHUT_RDWR);
+}
+
 Store::Store(const std::string& host)
     : listener(std::make_unique<Listener>(host, [this](Stream& stream) {
         this->Answer(stream);
@@ -532,6 +548,35 @@
 
 void Endpoint::Exit() {
   this->has_ended = true;
+  this->listener->Shut();
+}
+
+void Endpoint::Crash(double back_after_s) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (!this->registered) {
+      return;
+    }
+    // Its heartbeats cease.
+    this->registered = false;
+    ++this->incarnation;
+  }
+  this->listener->Shut();
+  std::thread([this, back_after_s] {
+    SleepFor(back_after_s);
+    {
+      const std::lock_guard lock(this->mutex);
+      this->running = 0;
+      this->waiting = 0;
+      this->sequence = 0;
+      this->born = std::chrono::duration_cast<std::chrono::milliseconds>(
+                       std::chrono::system_clock::now().time_since_epoch())
+                       .count();
+    }
+    this->listener->Open();
+    Record("endpoint " + this->options.id + " is back");
+    this->Register();
+  }).detach();
 }
 
 void Endpoint::Register() {
@@ -590,14 +635,17 @@
 
 void Endpoint::Serve(Stream& stream) {
   std::string copy;
+  const int begun = this->incarnation;
+  const auto is_dead = [&] {
+    return this->has_ended || this->incarnation != begun;
+  };
   for (;;) {
     std::optional<std::string> head;
     const double idle_until = Now() + 10;
     do {
       head = stream.ReadHead(std::min(Now() + 0.1, idle_until));
-    } while (!head && stream.TimedOut() && Now() < idle_until &&
-             !this->has_ended);
-    if (!head || this->has_ended) {
+    } while (!head && stream.TimedOut() && Now() < idle_until && !is_dead());
+    if (!head || is_dead()) {
       stream.Reset();
       return;
     }
@@ -662,13 +710,23 @@
     if (this->on_run) {
       this->on_run(request);
     }
+    if (this->crashes && this->crashes(request)) {
+      // It begins to run, and crashes soon after.
+      SleepFor(0.1);
+      Record("endpoint " + this->options.id + " crashes by " + request.id);
+      this->Crash(3);
+      stream.Reset();
+      return;
+    }
     const double done = std::min(Now() + this->options.work_s, until);
     bool left = false;
-    while (Now() < done && !left && !this->has_ended) {
+    while (Now() < done && !left && !is_dead()) {
       left = stream.WaitForClose(std::min(0.05, done - Now()));
     }
-    this->Leave();
-    if (left || this->has_ended) {
+    if (this->incarnation == begun) {
+      this->Leave();
+    }
+    if (left || is_dead()) {
       Record("endpoint " + this->options.id + " drops " + request.id);
       stream.Reset();
       return;
--- a/review/standins-2/world2.h
+++ b/review/standins-2/world2.h
@@ -91,9 +91,13 @@
   using Serve = std::function<void(Stream&)>;
   Listener(const std::string& host, Serve serve);
   std::string Address() const { return this->address; }
+  // Connections are refused until Open is called.
+  void Shut();
+  void Open();
 
  private:
-  int handle;
+  Serve serve;
+  int handle = -1;
   std::string address;
 };
 
@@ -161,6 +165,9 @@
   void BeatLate(double after_s);
   // Ends: closes its connections and takes no more.
   void Exit();
+  // Crashes: resets its connections, and starts again after this time as a new
+  // incarnation under the same id.
+  void Crash(double back_after_s);
 
   // Other answer headers, such as a limit.
   std::function<std::string(const Request&)> more_headers;
@@ -175,6 +182,8 @@
   std::function<std::optional<std::string>(const Request&)> reject;
   // Called for each request that begins to run.
   std::function<void(const Request&)> on_run;
+  // Whether the request crashes the endpoint that begins to run it.
+  std::function<bool(const Request&)> crashes;
 
  private:
   void Serve(Stream& stream);
@@ -192,6 +201,8 @@
   std::string state = "ready";
   bool registered = false;
   std::atomic<bool> has_ended{false};
+  // Grows with each crash.
+  std::atomic<int> incarnation{0};
   std::int64_t sequence = 0;
   std::int64_t born;
   std::unique_ptr<Listener> listener;
