Review: show that an endpoint whose clock was stepped back is not heard

Claim: entries order the reports of different incarnations of an endpoint by its wall clock and ignore the draining of one whose clock was stepped back.

--- a/review/standins-2/world2.cc
+++ b/review/standins-2/world2.cc
@@ -513,12 +513,19 @@
 Endpoint::Endpoint(Store& store, const std::string& host, Options options)
     : store(store),
       options(std::move(options)),
-      born(std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-               .count()),
+      born(0),
       listener(std::make_unique<Listener>(host, [this](Stream& stream) {
         this->Serve(stream);
-      })) {}
+      })) {
+  this->StartAnew();
+}
+
+void Endpoint::StartAnew() {
+  this->born = std::chrono::duration_cast<std::chrono::milliseconds>(
+                   std::chrono::system_clock::now().time_since_epoch())
+                   .count() +
+               this->clock_ahead;
+}
 
 std::string Endpoint::Report() {
   return json::serialize(json::object{{"service", this->options.service},
@@ -569,9 +576,7 @@
       this->running = 0;
       this->waiting = 0;
       this->sequence = 0;
-      this->born = std::chrono::duration_cast<std::chrono::milliseconds>(
-                       std::chrono::system_clock::now().time_since_epoch())
-                       .count();
+      this->StartAnew();
     }
     this->listener->Open();
     Record("endpoint " + this->options.id + " is back");
--- a/review/standins-2/world2.h
+++ b/review/standins-2/world2.h
@@ -155,6 +155,13 @@
 
   std::string Address() const { return this->listener->Address(); }
   const std::string& Id() const { return this->options.id; }
+  // Sets its machine's clock this far ahead of true time. `born` follows at its
+  // next start.
+  void SetClockAhead(std::int64_t milliseconds) {
+    this->clock_ahead = milliseconds;
+  }
+  // Sets `born` anew; for one that has not been registered yet.
+  void StartAnew();
   // Registers it as ready and keeps its heartbeats going.
   void Register();
   void SetState(const std::string& state);
@@ -204,6 +211,7 @@
   // Grows with each crash.
   std::atomic<int> incarnation{0};
   std::int64_t sequence = 0;
+  std::atomic<std::int64_t> clock_ahead{0};
   std::int64_t born;
   std::unique_ptr<Listener> listener;
 };
