--- a/review/6/scene.cc
+++ b/review/6/scene.cc
@@ -8,14 +8,14 @@
 namespace {
 
 constexpr int kEntries = 32;
-constexpr int kEndpoints = 5;
+constexpr int kEndpoints = 10;
 // The doses of "garble, extra late" in the site file: share 0.6, x 0.03,
 // for_s 5.
-constexpr int kFaulty = 3;
+constexpr int kFaulty = 6;
 constexpr double kCopied = 0.03;
 constexpr double kWindow = 5;
 constexpr double kPeriod = 6;
-constexpr double kRate = 60;
+constexpr double kRate = 120;
 constexpr double kLength = 90;
 
 }  // namespace
@@ -73,7 +73,7 @@
   std::vector<std::thread> clients;
   const int count = static_cast<int>(kRate * kLength);
   std::atomic<int> next{0};
-  for (int worker = 0; worker < 300; ++worker) {
+  for (int worker = 0; worker < 500; ++worker) {
     clients.emplace_back([&] {
       for (int i = next++; i < count; i = next++) {
         SleepUntil(begin + i / kRate);
--- a/review/standins-2/world2.cc
+++ b/review/standins-2/world2.cc
@@ -32,6 +32,40 @@
 std::mutex record_mutex;
 std::ofstream record_file;
 
+// The processes of this run, which end with it.
+constexpr std::size_t kMaxProcesses = 256;
+std::atomic<pid_t> processes[kMaxProcesses];
+
+void KillProcesses() {
+  for (std::atomic<pid_t>& each : processes) {
+    const pid_t pid = each.exchange(0);
+    if (pid > 0) {
+      kill(pid, SIGKILL);
+    }
+  }
+}
+
+void KeepProcess(pid_t pid) {
+  for (std::atomic<pid_t>& each : processes) {
+    pid_t free = 0;
+    if (each.compare_exchange_strong(free, pid)) {
+      return;
+    }
+  }
+}
+
+void ForgetProcess(pid_t pid) {
+  for (std::atomic<pid_t>& each : processes) {
+    pid_t kept = pid;
+    each.compare_exchange_strong(kept, 0);
+  }
+}
+
+void OnStopSignal(int) {
+  KillProcesses();
+  std::_Exit(2);
+}
+
 std::mt19937_64& Random() {
   thread_local std::mt19937_64 random(std::random_device{}());
   return random;
@@ -152,6 +186,8 @@
 void OpenRecord(const std::string& file) {
   record_file.open(file, std::ios::trunc);
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, OnStopSignal);
+  std::signal(SIGINT, OnStopSignal);
 }
 
 void Record(const std::string& line) {
@@ -162,6 +198,7 @@
 }
 
 void Finish(int code, const std::string& text) {
+  KillProcesses();
   Record("result " + std::to_string(code) + ": " + text);
   const std::lock_guard lock(record_mutex);
   record_file.flush();
@@ -296,7 +333,7 @@
 
 bool Stream::WaitForClose(double seconds) {
   pollfd wait{this->handle, POLLRDHUP, 0};
-  return poll(&wait, 1, static_cast<int>(seconds * 1000)) == 1 &&
+  return poll(&wait, 1, static_cast<int>(std::max(seconds, 0.0) * 1000)) == 1 &&
          (wait.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
 }
 
@@ -840,6 +877,7 @@
     this->pid = 0;
     Finish(2, "cannot start target/acacia-entry");
   }
+  KeepProcess(this->pid);
   Record("start " + this->name);
 }
 
@@ -853,12 +891,14 @@
 void Entry::Kill() {
   if (this->pid > 0) {
     kill(this->pid, SIGKILL);
+    ForgetProcess(this->pid);
     waitpid(std::exchange(this->pid, 0), nullptr, 0);
   }
 }
 
 bool Entry::HasEnded() {
   if (this->pid > 0 && waitpid(this->pid, nullptr, WNOHANG) == this->pid) {
+    ForgetProcess(this->pid);
     this->pid = 0;
   }
   return this->pid == 0;
