Log which connection to a backend server an attempt went on

Change: connections to backend servers are numbered within a process, and attempt_ended names the number.

--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -4,6 +4,7 @@
 #ifndef SRC_BACKEND_CONNECTION_H_
 #define SRC_BACKEND_CONNECTION_H_
 
+#include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -29,9 +30,11 @@
 inline constexpr Duration kMaxIdleTime = std::chrono::seconds(30);
 
 struct BackendConnection {
-  explicit BackendConnection(const boost::asio::any_io_executor& executor)
-      : socket(executor) {}
+  BackendConnection(const boost::asio::any_io_executor& executor,
+                    ConnectionId id)
+      : id(id), socket(executor) {}
 
+  const ConnectionId id;
   boost::asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   // When the last complete answer arrived.
@@ -93,6 +96,9 @@
                        std::uint32_t limit,
                        TimePoint now);
 
+  // Returns the id of the next connection that is opened.
+  ConnectionId NextId() { return ConnectionId(++this->opened); }
+
   // Returns a connection after a complete answer, with no unread bytes.
   void CheckIn(const BackendId& backend,
                BackendConnectionPtr connection,
@@ -113,6 +119,7 @@
     std::deque<BackendConnectionPtr> idle;
   };
 
+  std::atomic<std::uint64_t> opened{0};
   std::mutex mutex;
   std::unordered_map<BackendId, PerBackend> backends;
 };
--- a/src/ids.h
+++ b/src/ids.h
@@ -25,6 +25,8 @@
 
 // Identifies a caller's request within one entry process.
 using RequestId = StrongNumber<struct RequestTag, std::uint64_t>;
+// Identifies a connection to a backend server within one entry process.
+using ConnectionId = StrongNumber<struct ConnectionTag, std::uint64_t>;
 // Numbers the attempts of one request, from 1.
 using AttemptId = StrongNumber<struct AttemptTag, std::uint32_t>;
 // Counts accepted configurations; 0 means that there is none yet.
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -211,6 +211,7 @@
   this->connection = std::move(out.connection);
   this->reused = this->connection != nullptr;
   if (this->connection) {
+    this->connection_id = this->connection->id;
     co_return true;
   }
   co_return co_await this->OpenConnection();
@@ -224,7 +225,9 @@
     co_return false;
   }
   this->connection = std::make_unique<BackendConnection>(
-      this->owner.Caller().Socket().get_executor());
+      this->owner.Caller().Socket().get_executor(),
+      this->context.pool.NextId());
+  this->connection_id = this->connection->id;
   const TimePoint now = this->context.clock.Now();
   this->progress_deadline =
       std::min(now + kConnectTimeout, this->exchange.deadline);
@@ -426,7 +429,8 @@
       .With("backend_server", this->start.backend)
       .With("result", AttemptResultName(result))
       .With("ms", elapsed.count())
-      .With("connection", this->reused ? "reused" : "new");
+      .With("connection", this->reused ? "reused" : "new")
+      .With("connection_id", this->connection_id);
   if (!this->start.belief.empty()) {
     event.With("belief", this->start.belief);
   }
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -243,6 +243,9 @@
   bool head_arrived = false;
   // The connection has carried an earlier request.
   bool reused = false;
+  // Kept for the log after the connection has been released; 0 if there was
+  // none.
+  ConnectionId connection_id;
   // The last I/O error on the connection, for the log.
   boost::system::error_code last_error;
   bool uploading = false;
