Send a request again on a connection that has not carried it

Cause: all attempts of a request bear the caller's request id. A refusal hands its connection back, the pool hands out the connection used last, and a held request is repeated where it was refused. A late second copy of the refusal then arrives where the answer to the second send is expected, and the ids do not tell them apart. Evidence: with connection_id in the log, attempts 1 and 2 of one request go on connection 1, the second is "refused" after 0 ms, and the endpoint has refused once. Neither overlapping attempts nor a gap in the check of ids shows. Change: the request remembers the connections that carried it, and the pool passes these over. A new one is opened only if no other idle one is there; refusals still hand connections back. The rule is applied where a connection is taken, so for each way in which a request is sent again. A metric counts the connections that were opened for it. Why it works: a copy can arrive only on a connection that has carried the request, and no later send uses one.

--- a/src/backend_connection.cc
+++ b/src/backend_connection.cc
@@ -5,6 +5,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <cerrno>
 #include <utility>
@@ -84,10 +85,12 @@
   return static_cast<std::size_t>(bytes);
 }
 
-ConnectionPool::CheckOut ConnectionPool::TryCheckOut(const BackendId& backend,
-                                                     ConnectionNeed need,
-                                                     std::uint32_t limit,
-                                                     TimePoint now) {
+ConnectionPool::CheckOut ConnectionPool::TryCheckOut(
+    const BackendId& backend,
+    ConnectionNeed need,
+    const std::vector<ConnectionId>& carriers,
+    std::uint32_t limit,
+    TimePoint now) {
   // Destroyed after the lock is released, so that sockets close outside it.
   std::vector<BackendConnectionPtr> closing;
   const std::lock_guard lock(this->mutex);
@@ -95,16 +98,24 @@
   if (pool.in_use >= limit) {
     return {};
   }
-  CheckOut result{true, nullptr};
+  CheckOut result{true, nullptr, false};
   // The most recently used is at the back: if it is too old, so are the others.
-  while (!pool.idle.empty() && IsReusable(*pool.idle.back(), need, now)) {
-    BackendConnectionPtr candidate = std::move(pool.idle.back());
-    pool.idle.pop_back();
+  for (std::size_t i = pool.idle.size();
+       !result.connection && i > 0 && IsReusable(*pool.idle[i - 1], need, now);
+       --i) {
+    const auto at = pool.idle.begin() + static_cast<std::ptrdiff_t>(i - 1);
+    if (std::find(carriers.begin(), carriers.end(), (*at)->id) !=
+        carriers.end()) {
+      result.passed_over = true;
+      continue;
+    }
+    BackendConnectionPtr candidate = std::move(*at);
+    pool.idle.erase(at);
     if (IsOpenWithoutData(*candidate)) {
       result.connection = std::move(candidate);
-      break;
+    } else {
+      closing.push_back(std::move(candidate));
     }
-    closing.push_back(std::move(candidate));
   }
   ++pool.in_use;
   while (!pool.idle.empty() && pool.in_use + pool.idle.size() > limit) {
--- a/src/backend_connection.h
+++ b/src/backend_connection.h
@@ -1,6 +1,11 @@
 // Connections to backend servers and the pool of idle ones. Only a connection
 // without an outstanding answer and without unread bytes is kept for reuse; any
 // other is closed, so that no answer can be matched to the wrong request.
+//
+// A backend server may answer twice, the second time late. The request id tells
+// such an answer from that to a later request, but not from that to the same
+// request, sent again under the same id. A request that is sent again therefore
+// goes on a connection that has not carried it.
 #ifndef SRC_BACKEND_CONNECTION_H_
 #define SRC_BACKEND_CONNECTION_H_
 
@@ -14,6 +19,7 @@
 #include <mutex>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "src/clock.h"
 #include "src/ids.h"
@@ -87,12 +93,16 @@
     bool granted = false;
     // Null if the requester must open a new one.
     BackendConnectionPtr connection;
+    // An idle connection was passed over because it is one of `carriers`.
+    bool passed_over = false;
   };
 
-  // Grants an idle connection that satisfies `need`, or the right to open one,
-  // unless `limit` connections to the backend server are in use.
+  // Grants an idle connection that satisfies `need` and is none of `carriers`,
+  // or the right to open one, unless `limit` connections to the backend server
+  // are in use.
   CheckOut TryCheckOut(const BackendId& backend,
                        ConnectionNeed need,
+                       const std::vector<ConnectionId>& carriers,
                        std::uint32_t limit,
                        TimePoint now);
 
--- a/src/entry_metrics.cc
+++ b/src/entry_metrics.cc
@@ -88,6 +88,12 @@
            .Help("Caller connections closed at once: too many open.")
            .Register(target)
            .Add({});
+  auto& opened = prometheus::BuildCounter()
+                     .Name("acacia_backend_connections_opened_total")
+                     .Help("Connections opened to backend servers, by reason.")
+                     .Register(target);
+  this->connections_without_idle = &opened.Add({{"reason", "none_idle"}});
+  this->connections_for_repeats = &opened.Add({{"reason", "repeat"}});
   this->unread_answers =
       &prometheus::BuildCounter()
            .Name("acacia_unread_answers_total")
--- a/src/entry_metrics.h
+++ b/src/entry_metrics.h
@@ -68,6 +68,10 @@
   prometheus::Gauge* quota_refusals = nullptr;
   prometheus::Gauge* quota_fractions = nullptr;
   prometheus::Counter* refused_connections = nullptr;
+  // Connections opened to backend servers: no idle one was there, or the idle
+  // ones had carried the same request before.
+  prometheus::Counter* connections_without_idle = nullptr;
+  prometheus::Counter* connections_for_repeats = nullptr;
   // Answers that were ended because the caller did not read them.
   prometheus::Counter* unread_answers = nullptr;
 
--- a/src/proxy_attempt.cc
+++ b/src/proxy_attempt.cc
@@ -203,7 +203,8 @@
   const auto need = this->start.proven_connection ? ConnectionNeed::kProven
                                                   : ConnectionNeed::kAny;
   auto out = this->context.pool.TryCheckOut(
-      this->start.backend, need, this->exchange.max_connections, now);
+      this->start.backend, need, this->exchange.carriers,
+      this->exchange.max_connections, now);
   this->checked_out = out.granted;
   if (!out.granted) {
     co_return false;
@@ -214,6 +215,10 @@
     this->connection_id = this->connection->id;
     co_return true;
   }
+  EntryMetrics& metrics = this->context.metrics;
+  (out.passed_over ? metrics.connections_for_repeats
+                   : metrics.connections_without_idle)
+      ->Increment();
   co_return co_await this->OpenConnection();
 }
 
@@ -264,6 +269,15 @@
   return head;
 }
 
+// Call before the first byte of the request is written.
+void ProxyAttempt::MarkSending() {
+  this->may_have_sent_bytes = true;
+  // Where each attempt has an id of its own, the ids tell the answers apart.
+  if (this->context.dialect.forwards_request_id) {
+    this->exchange.carriers.push_back(this->connection->id);
+  }
+}
+
 net::awaitable<bool> ProxyAttempt::SendBuffered() {
   using Body = http::span_body<const char>;
   http::request<Body> message(this->BuildHead());
@@ -272,7 +286,7 @@
   if (this->exchange.has_body) {
     message.content_length(body.size());
   }
-  this->may_have_sent_bytes = true;
+  this->MarkSending();
   const auto [error, bytes] =
       co_await http::async_write(this->connection->socket, message, kAwait);
   this->may_have_sent_bytes = bytes > 0;
@@ -285,7 +299,7 @@
 net::awaitable<bool> ProxyAttempt::SendHead(http::request_header<> head) {
   http::request<http::empty_body> message(std::move(head));
   http::request_serializer<http::empty_body> serializer(message);
-  this->may_have_sent_bytes = true;
+  this->MarkSending();
   const auto [error, bytes] = co_await http::async_write_header(
       this->connection->socket, serializer, kAwait);
   this->may_have_sent_bytes = bytes > 0;
--- a/src/proxy_attempt.h
+++ b/src/proxy_attempt.h
@@ -78,6 +78,8 @@
   // The request may have run: an attempt sent bytes of it and did not end with
   // the backend server's refusal.
   bool outcome_unknown = false;
+  // The connections on which the request has been sent under its present id.
+  std::vector<ConnectionId> carriers;
   TraceContext trace;
 
   // The whole request can be sent to another backend server.
@@ -177,6 +179,7 @@
   boost::asio::awaitable<bool> Connect();
   boost::asio::awaitable<bool> OpenConnection();
   boost::beast::http::request_header<> BuildHead() const;
+  void MarkSending();
   boost::asio::awaitable<bool> SendBuffered();
   boost::asio::awaitable<bool> SendHead(
       boost::beast::http::request_header<> head);
--- a/test/error/host_proxy_test.cc
+++ b/test/error/host_proxy_test.cc
@@ -713,6 +713,92 @@
   CHECK(arrived["i-1"] + arrived["i-2"] == before);
 }
 
+// A backend server that refuses a number of requests. A second copy of each
+// refusal arrives late: on its connection, where the next answer is expected.
+class LateCopies {
+ public:
+  BackendScript Script() {
+    return [this](TextStream& stream, const std::string& request) {
+      const std::string id = Field(request, "X-Acaciaswitch-Request-Id");
+      const std::lock_guard lock(this->mutex);
+      std::string& copy = this->copies[&stream];
+      const bool sent = stream.Send(std::exchange(copy, std::string()));
+      if (this->refusals_left == 0) {
+        ++this->runs;
+        return sent && stream.Send(SignedAnswer(id, "body"));
+      }
+      --this->refusals_left;
+      copy = WithField(this->refusal, "X-Acaciaswitch-Request-Id: " + id);
+      return sent && stream.Send(copy);
+    };
+  }
+  // Refuses the next `count` requests with `status`, which may be followed by
+  // header fields.
+  void Refuse(int count, const std::string& status) {
+    const std::lock_guard lock(this->mutex);
+    this->refusals_left = count;
+    this->refusal = "HTTP/1.1 " + status +
+                    "\r\nX-Acaciaswitch-Not-Executed: 1\r\n"
+                    "Content-Length: 0\r\n\r\n";
+    this->runs = 0;
+  }
+  int Runs() {
+    const std::lock_guard lock(this->mutex);
+    return this->runs;
+  }
+
+ private:
+  std::mutex mutex;
+  std::map<TextStream*, std::string> copies;
+  std::string refusal;
+  int refusals_left = 0;
+  int runs = 0;
+};
+
+// A request with this id and a deadline that leaves time for several attempts
+// at the same backend server.
+std::string Repeatable(std::string request, const std::string& id = "abc") {
+  request.replace(request.find("abc"), 3, id);
+  return request.replace(request.find("5000"), 4, "1600");
+}
+
+// Guards TWICE and REFUSED: a late copy of a refusal was taken for the answer
+// to the same request, sent again on the same connection.
+TEST_CASE("a late copy of a refusal does not answer the request sent again") {
+  for (const std::string status : {"503 Full", "421 Misdirected", "408 Late",
+                                   "429 Over\r\nRetry-After: 0.1"}) {
+    for (const int backend_servers : {1, 2}) {
+      for (const std::string& request : {Repeatable(kGet), Repeatable(kPost)}) {
+        INFO(status << " from " << backend_servers << "\n" << request);
+        LateCopies backend;
+        HostFixture f(backend.Script());
+        f.Apply({}, static_cast<std::size_t>(backend_servers));
+        backend.Refuse(backend_servers, status);
+        const std::string answer = f.RoundTrip(request);
+        CHECK(StatusOf(answer) == 200);
+        CHECK(BodyOf(answer) == "body");
+        CHECK(backend.Runs() == 1);
+      }
+    }
+  }
+}
+
+// Guards against a storm of new connections: a request that is sent again takes
+// an open connection if there is one that has not carried it.
+TEST_CASE("requests that are refused again and again open few connections") {
+  constexpr int kRequests = 4;
+  constexpr int kRefusals = 2;
+  LateCopies backend;
+  HostFixture f(backend.Script());
+  f.Apply({}, 1);
+  for (int i = 0; i < kRequests; ++i) {
+    backend.Refuse(kRefusals, "503 Full");
+    const std::string id = "id-" + std::to_string(i);
+    CHECK(StatusOf(f.RoundTrip(Repeatable(kGet, id))) == 200);
+  }
+  CHECK(f.backend.Accepted() <= kRefusals + 1);
+}
+
 TEST_CASE("an older configuration does not replace a newer one") {
   HostFixture f([](TextStream& stream, const std::string&) {
     return stream.Send(SignedAnswer("abc", "body"));
