--- a/src/entry_metrics.cc
+++ b/src/entry_metrics.cc
@@ -13,6 +13,17 @@
       {});
 }
 
+prometheus::Counter* AddCounter(prometheus::Registry& registry,
+                                const std::string& name,
+                                const std::string& help,
+                                const prometheus::Labels& labels = {}) {
+  return &prometheus::BuildCounter()
+              .Name(name)
+              .Help(help)
+              .Register(registry)
+              .Add(labels);
+}
+
 }  // namespace
 
 std::string_view AttemptResultName(AttemptResult result) {
@@ -83,23 +94,18 @@
       AddGauge(target, "acacia_quota_fractions_received",
                "Fractions of accounts received from their keepers.");
   this->refused_connections =
-      &prometheus::BuildCounter()
-           .Name("acacia_refused_connections_total")
-           .Help("Caller connections closed at once: too many open.")
-           .Register(target)
-           .Add({});
-  auto& opened = prometheus::BuildCounter()
-                     .Name("acacia_backend_connections_opened_total")
-                     .Help("Connections opened to backend servers, by reason.")
-                     .Register(target);
-  this->connections_without_idle = &opened.Add({{"reason", "none_idle"}});
-  this->connections_for_repeats = &opened.Add({{"reason", "repeat"}});
+      AddCounter(target, "acacia_refused_connections_total",
+                 "Caller connections closed at once: too many open.");
+  const std::string opened = "acacia_backend_connections_opened_total";
+  const std::string opened_help =
+      "Connections opened to backend servers, by reason.";
+  this->connections_without_idle =
+      AddCounter(target, opened, opened_help, {{"reason", "none_idle"}});
+  this->connections_for_repeats =
+      AddCounter(target, opened, opened_help, {{"reason", "repeat"}});
   this->unread_answers =
-      &prometheus::BuildCounter()
-           .Name("acacia_unread_answers_total")
-           .Help("Answers ended because their callers did not read them.")
-           .Register(target)
-           .Add({});
+      AddCounter(target, "acacia_unread_answers_total",
+                 "Answers ended because their callers did not read them.");
   this->answers = &prometheus::BuildCounter()
                        .Name("acacia_answers_total")
                        .Help("Answers to callers, by service and kind.")
