Give the soak's backend servers real start times

Cause: the soak's first incarnations said that they had started at 0, which stands for an unknown start, so that the order of their reports is not judged after a removal. The platform's `born` is Unix time, always there. Change: starts count from 2023. Checks and bounds stay.

--- a/test/integration/process_soak_test.cc
+++ b/test/integration/process_soak_test.cc
@@ -140,6 +140,8 @@
   static constexpr int kCallersPerEntry = 6;
   static constexpr int kBackends = 8;
   static constexpr int kManyRoutes = 350;
+  // When the backend servers first started, in milliseconds of Unix time.
+  static constexpr std::int64_t kFirstStart = 1'700'000'000'000;
   // How long after a configuration must be in force the entries are asked.
   static constexpr SoakTime kAskAfter{30};
 
@@ -212,7 +214,7 @@
         (index % 4 < 2 ? "a" : "b") +
         R"(","version":"1","slots":40,"state":")" + state +
         R"(","coldLeftS":0,"seq":)" + std::to_string(++this->sequence) +
-        R"(,"born":)" + std::to_string(this->born[index]) + "}";
+        R"(,"born":)" + std::to_string(kFirstStart + this->born[index]) + "}";
     this->registrations[this->backends[index].Instance()] = text;
     this->store.Put("servers", this->backends[index].Instance(), text);
   }
